--- /dev/null
+++ b/scripts/test.mjs
@@ -0,0 +1,31 @@
+// Bundles the tests next to the build and runs them with node's own runner.
+import { spawnSync } from "node:child_process";
+import { readdirSync, rmSync } from "node:fs";
+import { build } from "esbuild";
+
+rmSync("target/test", { recursive: true, force: true });
+const entryPoints = readdirSync("test", { recursive: true })
+  .map(String)
+  .filter((name) => name.endsWith(".test.ts"))
+  .map((name) => `test/${name}`);
+await build({
+  entryPoints,
+  outdir: "target/test",
+  outExtension: { ".js": ".mjs" },
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "esm",
+  sourcemap: "inline",
+  define: { THORNTRAIL_VERSION: '"test"' },
+  banner: {
+    js: "import{createRequire as __cr}from'node:module';const require=__cr(import.meta.url);",
+  },
+  logLevel: "warning",
+});
+const files = readdirSync("target/test", { recursive: true })
+  .map(String)
+  .filter((name) => name.endsWith(".test.mjs"))
+  .map((name) => `target/test/${name}`);
+const run = spawnSync(process.execPath, ["--enable-source-maps", "--test", "--test-reporter=spec", ...files], { stdio: "inherit" });
+process.exit(run.status ?? 1);
--- /dev/null
+++ b/src/controller.ts
@@ -0,0 +1,120 @@
+import { randomBytes } from "node:crypto";
+import { Allotments } from "./parts/allotments.js";
+import { Leader } from "./parts/leader.js";
+import { Ownership } from "./parts/ownership.js";
+import { Committer } from "./ledger/committer.js";
+import { Mirror } from "./ledger/mirror.js";
+import type { StateApi } from "./ledger/state-client.js";
+import { Exchange } from "./exchange/exchange.js";
+import type { CloudApi } from "./fleet/cloud-client.js";
+import { Fleet } from "./fleet/fleet.js";
+import { Jobs } from "./intake/jobs.js";
+import type { PeerApi } from "./peers/links.js";
+import { Rate } from "./platform/rate.js";
+import type { Scope } from "./platform/scope.js";
+import type { Settings } from "./settings/derived.js";
+import { Dispatch } from "./workers/dispatch.js";
+import type { WorkerApi } from "./workers/worker-client.js";
+
+export interface Surroundings {
+  state: StateApi;
+  cloud: CloudApi;
+  workers: WorkerApi;
+  peers: PeerApi;
+}
+
+/** One controller: all slices, wired. */
+export class Controller {
+  readonly mirror: Mirror;
+  readonly committer: Committer;
+  readonly ownership: Ownership;
+  readonly allotments: Allotments;
+  readonly leader: Leader;
+  readonly dispatch: Dispatch;
+  readonly fleet: Fleet;
+  readonly exchange: Exchange;
+  readonly jobs: Jobs;
+  private peersWithState = new Map<string, number>();
+
+  constructor(
+    readonly settings: Settings,
+    private readonly around: Surroundings,
+    private readonly scope: Scope,
+    life = randomBytes(6).toString("hex"),
+  ) {
+    const { clock, log } = scope;
+    const { state, cloud } = settings.platform.deployment;
+    const share = 1 / settings.nodes.length;
+    const requests = new Rate(clock, state.rps * share);
+    const writes = new Rate(clock, state.write_rps * share, Math.max(state.txn_ops, state.write_rps * share));
+    const { timing } = settings;
+    this.mirror = new Mirror(around.state, clock, requests, { readGapMs: 3000 / (state.rps * share), blockMs: timing.reportMs });
+    this.committer = new Committer(
+      around.state,
+      this.mirror,
+      clock,
+      requests,
+      writes,
+      { txnOps: state.txn_ops, retryMs: 5000 / state.write_rps },
+      log,
+    );
+    this.ownership = new Ownership(settings, life, around.state, this.mirror, this.committer, requests, scope);
+    this.allotments = new Allotments(settings, this.mirror, this.committer, scope);
+    this.leader = new Leader(settings, life, this.mirror, this.committer, this.allotments, scope);
+    this.dispatch = new Dispatch(this.leader, around.workers, scope);
+    this.fleet = new Fleet(
+      settings,
+      around.cloud,
+      this.leader,
+      this.allotments,
+      this.mirror,
+      this.committer,
+      new Rate(clock, cloud.rps * share, Math.max(1, cloud.rps * share * 2)),
+      scope,
+    );
+    this.exchange = new Exchange(settings, this.leader, this.ownership, this.allotments, this.mirror, this.committer, around.peers, scope);
+    this.jobs = new Jobs(settings, this.leader, this.ownership, this.mirror, this.committer, scope);
+  }
+
+  start(): void {
+    this.leader.start();
+    this.dispatch.start();
+    this.mirror.start(this.scope);
+    this.ownership.start();
+    this.allotments.start();
+    this.fleet.start();
+    this.exchange.start();
+    this.scope.listen(this.around.peers.incoming$, ({ from, message }) => {
+      if ("Health" in message && message.Health.stateOk) this.peersWithState.set(from, this.scope.clock.now());
+    });
+    this.scope.routine(
+      "health",
+      () => this.settings.timing.reportMs / 2,
+      () => {
+        for (const node of this.settings.nodes) {
+          if (node !== this.settings.self) this.around.peers.send(node, { Health: { stateOk: this.hasState() } });
+        }
+      },
+    );
+  }
+
+  private hasState(): boolean {
+    return this.mirror.loaded && this.mirror.ageMs() < this.settings.timing.presenceMs / 2;
+  }
+
+  /**
+   * Sends users elsewhere only if elsewhere is better: in an outage of the state
+   * service every node is as good as this one, and being marked unhealthy would
+   * cost users time after it ends.
+   */
+  unready(): string | null {
+    if (!this.mirror.loaded) return "starting";
+    if (this.leader.types.length === 0) return "machine types are not known yet";
+    if (this.hasState()) return null;
+    const now = this.scope.clock.now();
+    for (const at of this.peersWithState.values()) {
+      if (now - at < this.settings.timing.reportMs) return "the state service refuses this node";
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/exchange/exchange.ts
@@ -0,0 +1,251 @@
+import type { Committer } from "../ledger/committer.js";
+import type { Mirror } from "../ledger/mirror.js";
+import { keys, type JobRecord } from "../ledger/records.js";
+import { Bits } from "../platform/bits.js";
+import type { Scope } from "../platform/scope.js";
+import type { Allotments } from "../parts/allotments.js";
+import type { Leader } from "../parts/leader.js";
+import type { Ownership } from "../parts/ownership.js";
+import { usageByTeam, type Part, type Usage } from "../parts/part.js";
+import type { PeerApi } from "../peers/links.js";
+import type { Answer, Query, Volunteer, Want } from "../peers/messages.js";
+import { estimateWaits, utilization, type EstimateContext } from "../queue/estimate.js";
+import { newUnit, type Unit } from "../queue/unit.js";
+import type { Settings } from "../settings/derived.js";
+import { best, type Bid } from "./choice.js";
+
+interface Asking {
+  id: number;
+  part: Part;
+  unit: Unit;
+  home: Bid;
+  open: Set<number>;
+  bids: Bid[];
+  decide?: () => void;
+}
+
+/**
+ * The superscheduler proper, symmetrically initiated: jobs whose wait at home
+ * is short stay; others go to a volunteer that beats home, or, when nobody
+ * volunteers, every peer is asked. One query is out at a time.
+ */
+export class Exchange {
+  private readonly volunteers = new Map<number, { utilization: number; at: number }>();
+  private readonly asked = new Map<string, number>();
+  private readonly wanted = new Map<string, number>();
+  private asking: Asking | null = null;
+  private queries = 0;
+  stats = { home: 0, volunteer: 0, asked: 0, queries: 0 };
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly leader: Leader,
+    private readonly ownership: Ownership,
+    private readonly allotments: Allotments,
+    private readonly mirror: Mirror,
+    private readonly committer: Committer,
+    private readonly peers: PeerApi,
+    private readonly scope: Scope,
+  ) {}
+
+  private get tuning() {
+    return this.settings.operators.exchange;
+  }
+
+  start(): void {
+    this.scope.listen(this.peers.incoming$, ({ message }) => {
+      if ("Volunteer" in message) this.onVolunteer(message.Volunteer);
+      else if ("Query" in message) this.onQuery(message.Query);
+      else if ("Answer" in message) this.onAnswer(message.Answer);
+      else if ("Want" in message) this.onWant(message.Want);
+    });
+    this.scope.listen(this.leader.short$, ({ part, team, want }) => this.askAllotment(part, team, want));
+    this.scope.routine(
+      "announce",
+      () => this.tuning.sigma * 1000,
+      () => this.announce(),
+    );
+    this.scope.routine(
+      "exchange",
+      () => this.settings.timing.reportMs / 5,
+      () => this.consider(),
+    );
+  }
+
+  private context(): EstimateContext {
+    return {
+      now: this.scope.clock.now(),
+      silentMs: this.settings.timing.reportMs * 2,
+      order: this.settings.operators.queue.order,
+      history: this.leader.history,
+      bootMs: (machine) => (this.leader.types.find((t) => t.name === machine.type)?.bootS ?? 0) * 1000,
+    };
+  }
+
+  private ownerOf(part: number): string | null {
+    const owner = this.ownership.owner(part)?.owner;
+    return owner !== undefined && this.ownership.alive(owner) ? owner : null;
+  }
+
+  // ---- volunteers
+
+  private announce(): void {
+    for (const part of this.leader.parts.values()) {
+      if (part.phase !== "serving") continue;
+      const used = utilization(part);
+      if (used >= this.tuning.delta || part.machines.size === 0) continue;
+      const message = { Volunteer: { part: part.id, utilization: used } };
+      for (const node of this.settings.nodes) this.peers.send(node, message);
+    }
+  }
+
+  private onVolunteer(message: Volunteer): void {
+    this.volunteers.set(message.part, { utilization: message.utilization, at: this.scope.clock.now() });
+  }
+
+  // ---- moving
+
+  private movable(unit: Unit): boolean {
+    return (
+      !unit.moved &&
+      !unit.started &&
+      !unit.ended &&
+      !unit.leaving &&
+      unit.lo === 0 &&
+      unit.hi === unit.spec.tasks &&
+      unit.done.count === 0 &&
+      unit.placed.size === 0 &&
+      unit.waiting.length > 0
+    );
+  }
+
+  private consider(): void {
+    if (this.tuning.mode === "off" || this.asking !== null || this.leader.silent()) return;
+    const now = this.scope.clock.now();
+    for (const part of this.leader.parts.values()) {
+      if (part.phase !== "serving") continue;
+      const candidates = [...part.units.values()].filter((unit) => this.movable(unit) && now >= (this.asked.get(unit.key) ?? 0));
+      if (candidates.length === 0) continue;
+      const waits = estimateWaits(part, this.context());
+      for (const unit of candidates) {
+        const wait = waits.get(unit.key) ?? Infinity;
+        if (wait < this.tuning.phi * 1000) {
+          this.asked.set(unit.key, now + this.settings.timing.reportMs);
+          continue;
+        }
+        if (this.ask(part, unit, wait)) return;
+      }
+    }
+    if (this.asked.size > 10_000) this.asked.clear();
+  }
+
+  private ask(part: Part, unit: Unit, waitMs: number): boolean {
+    const now = this.scope.clock.now();
+    const { sigma, mode, answer_limit } = this.tuning;
+    this.asked.set(unit.key, now + sigma * 1000);
+    const others = this.settings.nodes.map((_, id) => id).filter((id) => id !== part.id && this.ownerOf(id) !== null);
+    const volunteers = mode === "ask" ? [] : others.filter((id) => now - (this.volunteers.get(id)?.at ?? -Infinity) < sigma * 1500);
+    const targets = volunteers.length > 0 ? volunteers : mode === "volunteers" ? [] : others;
+    if (targets.length === 0) return false;
+    const id = ++this.queries;
+    const runMs = this.leader.history.expectS(unit.spec) * 1000;
+    this.asking = { id, part, unit, home: { part: part.id, waitMs, runMs, utilization: utilization(part) }, open: new Set(), bids: [] };
+    this.stats.queries++;
+    for (const target of targets) {
+      const sent = this.peers.send(this.ownerOf(target)!, { Query: { id, part: target, job: unit.spec.ref, from: this.settings.self } });
+      if (sent) this.asking.open.add(target);
+    }
+    if (this.asking.open.size === 0) {
+      this.asking = null;
+      return false;
+    }
+    const viaVolunteer = volunteers.length > 0;
+    this.asking.decide = () => this.decide(id, viaVolunteer);
+    this.scope.clock.after(answer_limit * 1000, () => this.decide(id, viaVolunteer));
+    return true;
+  }
+
+  private onQuery(query: Query): void {
+    const part = this.leader.parts.get(query.part);
+    const job = this.mirror.get<JobRecord>(keys.job(query.job))?.v;
+    if (part === undefined || part.phase !== "serving" || job === undefined || this.leader.silent()) {
+      this.peers.send(query.from, { Answer: { id: query.id, part: query.part, waitMs: Infinity, runMs: 0, utilization: 1 } });
+      return;
+    }
+    const probe = newUnit(keys.job(query.job), job.spec, 0, job.hi, new Bits(job.hi), job.at, this.scope.clock.now());
+    const waitMs = estimateWaits(part, this.context(), [probe]).get(probe.key) ?? Infinity;
+    const runMs = this.leader.history.expectS(job.spec) * 1000;
+    this.peers.send(query.from, { Answer: { id: query.id, part: part.id, waitMs, runMs, utilization: utilization(part) } });
+  }
+
+  private onAnswer(answer: Answer): void {
+    const asking = this.asking;
+    if (asking === null || asking.id !== answer.id || !asking.open.delete(answer.part)) return;
+    asking.bids.push(answer);
+    if (asking.open.size === 0) asking.decide?.();
+  }
+
+  private decide(id: number, viaVolunteer: boolean): void {
+    const asking = this.asking;
+    if (asking === null || asking.id !== id) return;
+    this.asking = null;
+    const { part, unit } = asking;
+    if (this.leader.parts.get(part.id) !== part || !this.movable(unit)) return;
+    const choice = best(asking.home, asking.bids, this.tuning.epsilon);
+    if (choice.part === part.id) {
+      this.stats.home++;
+      return;
+    }
+    this.stats[viaVolunteer ? "volunteer" : "asked"]++;
+    this.move(part, unit, choice.part);
+  }
+
+  /** Until the transaction's answer is certain, the job must not be started here. */
+  private move(part: Part, unit: Unit, to: number): void {
+    unit.leaving = true;
+    const draft = () => {
+      const entry = this.mirror.get<JobRecord>(unit.key);
+      if (entry === undefined || entry.v.part !== part.id || entry.v.end !== undefined) return null;
+      if (this.mirror.stamp(keys.owner(part.id)) !== part.term) return null;
+      return {
+        conditions: [
+          { k: unit.key, stamp: entry.stamp },
+          { k: keys.owner(part.id), stamp: part.term },
+        ],
+        apply: [{ write: unit.key, v: { ...entry.v, part: to, moved: true } }],
+      };
+    };
+    void this.committer.commit("move", draft).then((outcome) => {
+      if (outcome === "shed") unit.leaving = false;
+      this.scope.log.debug({ part: part.id, to, job: unit.spec.ref, outcome }, "job moved");
+    });
+  }
+
+  // ---- allotments
+
+  private askAllotment(part: Part, team: string, want: Usage): void {
+    const now = this.scope.clock.now();
+    const label = `${part.id}|${team}`;
+    if (now < (this.wanted.get(label) ?? 0)) return;
+    this.wanted.set(label, now + this.settings.timing.reportMs / 2);
+    for (let id = 0; id < this.settings.nodes.length; id++) {
+      const owner = this.ownerOf(id);
+      if (id !== part.id && owner !== null) this.peers.send(owner, { Want: { part: part.id, team, ...want } });
+    }
+  }
+
+  private onWant(want: Want): void {
+    for (const part of this.leader.parts.values()) {
+      if (part.id === want.part || part.phase !== "serving") continue;
+      const held = this.allotments.held(part.id, want.team);
+      const used = usageByTeam(part).get(want.team) ?? { cpus: 0, gpus: 0 };
+      let { cpus, gpus } = { cpus: held.cpus - used.cpus, gpus: held.gpus - used.gpus };
+      for (const unit of part.units.values()) {
+        if (unit.spec.team !== want.team) continue;
+        cpus -= unit.spec.cpus * unit.waiting.length;
+        gpus -= unit.spec.gpus * unit.waiting.length;
+      }
+      this.allotments.cede(part, want.part, want.team, want, { cpus, gpus });
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet/cloud-client.ts
@@ -0,0 +1,100 @@
+import { HttpClient, NoReply, type Reply } from "../platform/http.js";
+
+export interface MachineType {
+  name: string;
+  cpus: number;
+  gpus: number;
+  ram: number;
+  cacheGb: number;
+  fetchGbPerS: number;
+  price: number;
+  spotPrice: number;
+  bootS: number;
+  zones: string[];
+}
+
+export interface ListedMachine {
+  host: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  state: string;
+  ageS: number;
+}
+
+export interface Offer {
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+/** The cloud as the fleet uses it; scenarios stand in for it. */
+export interface CloudApi {
+  types(): Promise<MachineType[]>;
+  /** Null: no capacity for this offer. */
+  hire(name: string, offer: Offer, count: number): Promise<string[] | null>;
+  remove(hosts: string[]): Promise<void>;
+  list(from: string | undefined, limit: number): Promise<{ machines: ListedMachine[]; more: boolean }>;
+}
+
+type Raw = Record<string, unknown>;
+
+export class HttpCloud implements CloudApi {
+  private readonly http = new HttpClient(4);
+
+  constructor(
+    private readonly addr: string,
+    private readonly timeoutMs: number,
+  ) {}
+
+  private async call(method: string, path: string, body?: unknown): Promise<Reply> {
+    const reply = await this.http.call(this.addr, method, path, body, this.timeoutMs);
+    if (reply.status === 429) throw new NoReply("refused", "over the cloud's rate");
+    return reply;
+  }
+
+  async types(): Promise<MachineType[]> {
+    const reply = await this.call("GET", "/machine_types");
+    if (reply.status !== 200) throw new NoReply("refused", `types answered ${reply.status}`);
+    return (reply.body["builds"] as Raw[]).map((raw) => ({
+      name: String(raw["label"]),
+      cpus: Number(raw["cpus"] ?? 0),
+      gpus: Number(raw["accelerators"] ?? 0),
+      ram: Number(raw["ramGb"] ?? 0),
+      cacheGb: Number(raw["localGb"] ?? 0),
+      fetchGbPerS: Number(raw["fetchGbPerS"] ?? 1),
+      price: Number(raw["rate"] ?? 0),
+      spotPrice: Number(raw["marketPrice"] ?? raw["rate"] ?? 0),
+      bootS: Number(raw["bootS"] ?? 0),
+      zones: ((raw["yards"] as unknown[] | undefined) ?? []).map(String),
+    }));
+  }
+
+  async hire(name: string, offer: Offer, count: number): Promise<string[] | null> {
+    const reply = await this.call("POST", "/hosts", { hire: name, build: offer.type, yard: offer.zone, loaner: offer.spot, count });
+    if (reply.status === 200) return (reply.body["hosts"] as unknown[]).map(String);
+    if (reply.status === 503 && reply.body["error"] === "no capacity") return null;
+    throw new NoReply(reply.status === 503 ? "refused" : "unanswered", `hire answered ${reply.status}`);
+  }
+
+  async remove(hosts: string[]): Promise<void> {
+    const reply = await this.call("POST", "/hosts/delete", { hosts });
+    if (reply.status !== 200) throw new NoReply("unanswered", `delete answered ${reply.status}`);
+  }
+
+  async list(from: string | undefined, limit: number): Promise<{ machines: ListedMachine[]; more: boolean }> {
+    const reply = await this.call("GET", `/hosts?limit=${limit}${from === undefined ? "" : `&from=${from}`}`);
+    if (reply.status !== 200) throw new NoReply("refused", `list answered ${reply.status}`);
+    const machines = (reply.body["hosts"] as Raw[]).map((raw) => ({
+      host: String(raw["ref"]),
+      addr: String(raw["addr"]),
+      type: String(raw["build"]),
+      zone: String(raw["yard"]),
+      spot: Boolean(raw["loaner"]),
+      state: String(raw["status"]),
+      ageS: Number(raw["ageS"]),
+    }));
+    return { machines, more: Boolean(reply.body["truncated"]) };
+  }
+}
--- /dev/null
+++ b/src/fleet/fleet.ts
@@ -0,0 +1,298 @@
+import type { Committer } from "../ledger/committer.js";
+import type { Mirror } from "../ledger/mirror.js";
+import { keys, type HireRecord, type MachineRecord } from "../ledger/records.js";
+import type { Allotments } from "../parts/allotments.js";
+import type { Leader } from "../parts/leader.js";
+import type { Part } from "../parts/part.js";
+import { NoReply } from "../platform/http.js";
+import { sleep } from "../platform/clock.js";
+import type { Rate } from "../platform/rate.js";
+import type { Scope } from "../platform/scope.js";
+import type { Settings } from "../settings/derived.js";
+import type { Machine } from "../workers/machine.js";
+import type { CloudApi, Offer } from "./cloud-client.js";
+import { offerName, planHires } from "./plan.js";
+
+const LIST_PAGE = 500;
+const MAX_DELETE = 100;
+const MAX_HIRE = 50;
+
+interface Refusal {
+  until: number;
+  pauseMs: number;
+}
+
+/**
+ * Rents, returns and accounts for machines. A rental's name is recorded before
+ * it is used and is never used again; what it brought is recorded before it gets
+ * any work; a machine's record goes only after the cloud has confirmed its end.
+ */
+export class Fleet {
+  private readonly refused = new Map<string, Refusal>();
+  private readonly hiring = new Set<string>();
+  private readonly strangers = new Map<string, number>();
+  private hires = 0;
+  stats = { hired: 0, returned: 0, refused: 0, strays: 0 };
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly cloud: CloudApi,
+    private readonly leader: Leader,
+    private readonly allotments: Allotments,
+    private readonly mirror: Mirror,
+    private readonly committer: Committer,
+    private readonly rate: Rate,
+    private readonly scope: Scope,
+  ) {}
+
+  start(): void {
+    const { reportMs, leaseMs } = this.settings.timing;
+    const lag = this.settings.platform.deployment.cloud.list_lag_s * 1000;
+    this.scope.routine(
+      "types",
+      () => (this.leader.types.length === 0 ? reportMs / 5 : leaseMs * 3),
+      () => this.refreshTypes(),
+    );
+    this.scope.routine(
+      "rent",
+      () => reportMs / 5,
+      () => this.rent(),
+    );
+    this.scope.routine(
+      "return",
+      () => reportMs / 2,
+      () => this.giveBack(),
+    );
+    this.scope.routine(
+      "reconcile",
+      () => Math.max(lag, reportMs) * 2,
+      () => this.reconcile(),
+    );
+  }
+
+  private async paid(): Promise<void> {
+    while (!this.rate.take()) await sleep(this.scope.clock, this.rate.waitMs());
+  }
+
+  private async refreshTypes(): Promise<void> {
+    try {
+      await this.paid();
+      this.leader.setTypes(await this.cloud.types());
+    } catch (error) {
+      if (!(error instanceof NoReply)) throw error;
+    }
+  }
+
+  private open(offer: Offer): boolean {
+    const refusal = this.refused.get(offerName(offer));
+    return refusal === undefined || refusal.until <= this.scope.clock.now();
+  }
+
+  private noteRefusal(offer: Offer): void {
+    this.stats.refused++;
+    const name = offerName(offer);
+    const { reportMs, leaseMs } = this.settings.timing;
+    const pauseMs = Math.min(leaseMs * 2, (this.refused.get(name)?.pauseMs ?? reportMs) * 2);
+    this.refused.set(name, { until: this.scope.clock.now() + pauseMs, pauseMs });
+  }
+
+  // ---- renting
+
+  private async rent(): Promise<void> {
+    if (this.leader.silent() || this.leader.types.length === 0) return;
+    for (const part of [...this.leader.parts.values()]) {
+      // Rentals begun before, by us or by a former leader, are brought to an end first.
+      let open = false;
+      for (const [key, entry] of this.mirror.rows<HireRecord>(keys.hires)) {
+        if (entry.v.part !== part.id) continue;
+        open = true;
+        await this.carryOut(part, key.slice(keys.hires.length), entry.v);
+      }
+      if (open || part.phase !== "serving") continue;
+      const plan = planHires(part, {
+        now: this.scope.clock.now(),
+        silentMs: this.settings.timing.reportMs * 2,
+        order: this.settings.operators.queue.order,
+        types: this.leader.types,
+        open: (offer) => this.open(offer),
+        allotment: (team) => this.allotments.held(part.id, team),
+      });
+      for (const { offer, count } of plan.values()) await this.begin(part, offer, count);
+    }
+  }
+
+  private async begin(part: Part, offer: Offer, count: number): Promise<void> {
+    // All that a rental brings is recorded in one transaction with its end.
+    const most = Math.min(MAX_HIRE, this.settings.platform.deployment.state.txn_ops - 2);
+    const name = `${part.id}.${part.term}.${++this.hires}`;
+    const value: HireRecord = { part: part.id, ...offer, count: Math.min(count, most), at: this.scope.clock.wall() };
+    const key = keys.hire(name);
+    const outcome = await this.committer.commit(
+      "hire",
+      () =>
+        this.mirror.get(key) !== undefined || this.mirror.stamp(keys.owner(part.id)) !== part.term
+          ? null
+          : {
+              conditions: [
+                { k: key, stamp: 0 },
+                { k: keys.owner(part.id), stamp: part.term },
+              ],
+              apply: [{ write: key, v: value }],
+            },
+      { shedAfterMs: this.settings.timing.reportMs },
+    );
+    if (outcome === "done") await this.carryOut(part, name, value);
+  }
+
+  private async carryOut(part: Part, name: string, hire: HireRecord): Promise<void> {
+    if (this.hiring.has(name) || this.leader.silent()) return;
+    this.hiring.add(name);
+    try {
+      await this.paid();
+      const hosts = await this.cloud.hire(name, hire, hire.count);
+      const offer: Offer = { type: hire.type, zone: hire.zone, spot: hire.spot };
+      if (hosts === null || hosts.length < hire.count) this.noteRefusal(offer);
+      else this.refused.delete(offerName(offer));
+      await this.close(part, name, hire, hosts ?? []);
+      if (hosts !== null) {
+        this.stats.hired += hosts.length;
+        this.scope.log.info({ part: part.id, hire: name, ...offer, asked: hire.count, got: hosts.length }, "machines rented");
+      } else this.scope.log.info({ part: part.id, ...offer, asked: hire.count }, "no capacity");
+    } catch (error) {
+      if (!(error instanceof NoReply)) throw error;
+      this.scope.log.debug({ hire: name, err: error.message }, "rental not answered; asked again under the same name");
+    } finally {
+      this.hiring.delete(name);
+    }
+  }
+
+  private async close(part: Part, name: string, hire: HireRecord, hosts: string[]): Promise<void> {
+    const key = keys.hire(name);
+    const record: MachineRecord = { part: part.id, type: hire.type, zone: hire.zone, spot: hire.spot, at: this.scope.clock.wall() };
+    await this.committer.commit(
+      "rented",
+      () => {
+        const entry = this.mirror.get<HireRecord>(key);
+        if (entry === undefined || this.mirror.stamp(keys.owner(part.id)) !== part.term) return null;
+        const unknown = hosts.filter((host) => this.mirror.get(keys.machine(host)) === undefined);
+        return {
+          conditions: [
+            { k: key, stamp: entry.stamp },
+            { k: keys.owner(part.id), stamp: part.term },
+            ...unknown.map((host) => ({ k: keys.machine(host), stamp: 0 })),
+          ],
+          apply: [{ remove: key }, ...unknown.map((host) => ({ write: keys.machine(host), v: record }))],
+        };
+      },
+      { first: true },
+    );
+  }
+
+  // ---- returning
+
+  private wantsReturn(part: Part, machine: Machine): string | null {
+    const now = this.scope.clock.now();
+    const type = this.leader.types.find((t) => t.name === machine.type);
+    if (type === undefined || machine.deleting) return null;
+    const { idle_per_boot, late_per_boot } = this.settings.operators.fleet;
+    const bootMs = type.bootS * 1000;
+    if (machine.lost) return "lost";
+    if (!machine.up)
+      return now - machine.hiredAt > Math.max(bootMs * late_per_boot, this.settings.timing.leaseMs) && machine.heardAt === -Infinity
+        ? "never came up"
+        : null;
+    if (machine.placements.size > 0) return null;
+    if (machine.draining) return "faulty";
+    if (machine.noticeAt !== null) return "notice";
+    if (part.phase === "serving" && now - machine.idleSince > bootMs * idle_per_boot) return "idle";
+    return null;
+  }
+
+  private async giveBack(): Promise<void> {
+    if (this.leader.silent()) return;
+    for (const part of [...this.leader.parts.values()]) {
+      const leaving: Machine[] = [];
+      for (const machine of part.machines.values()) {
+        const reason = this.wantsReturn(part, machine);
+        if (reason === null || leaving.length >= MAX_DELETE) continue;
+        machine.deleting = true;
+        leaving.push(machine);
+        this.scope.log.info({ part: part.id, host: machine.host, type: machine.type, spot: machine.spot, reason }, "machine returned");
+      }
+      if (leaving.length > 0) void this.remove(part, leaving);
+    }
+  }
+
+  private async remove(part: Part, machines: Machine[]): Promise<void> {
+    for (;;) {
+      if (this.scope.closed || this.leader.parts.get(part.id) !== part) return;
+      try {
+        await this.paid();
+        await this.cloud.remove(machines.map((machine) => machine.host));
+        break;
+      } catch (error) {
+        if (!(error instanceof NoReply)) throw error;
+        await sleep(this.scope.clock, this.settings.timing.reportMs);
+      }
+    }
+    this.stats.returned += machines.length;
+    // Confirmed gone, with everything on them: their tasks may start again.
+    for (const machine of machines) this.leader.forgetMachine(part, machine);
+    for (const machine of machines) {
+      const key = keys.machine(machine.host);
+      void this.committer.commit("returned", () => {
+        const stamp = this.mirror.stamp(key);
+        return stamp === 0 ? null : { conditions: [{ k: key, stamp }], apply: [{ remove: key }] };
+      });
+    }
+  }
+
+  // ---- the machine list
+
+  /** Looks for machines that stopped by themselves and for ones nobody expected. */
+  private async reconcile(): Promise<void> {
+    if (!this.mirror.loaded || this.leader.silent() || this.leader.parts.size === 0) return;
+    const lag = Math.max(1, this.settings.platform.deployment.cloud.list_lag_s) * 1000;
+    const now = this.scope.clock.now();
+    let from: string | undefined;
+    const unknown = new Set<string>();
+    const strays: string[] = [];
+    try {
+      for (;;) {
+        await this.paid();
+        const page = await this.cloud.list(from, LIST_PAGE);
+        for (const item of page.machines) {
+          const record = this.mirror.get<MachineRecord>(keys.machine(item.host));
+          const part = record === undefined ? undefined : this.leader.parts.get(record.v.part);
+          if (record === undefined) {
+            unknown.add(item.host);
+            const since = this.strangers.get(item.host) ?? now;
+            this.strangers.set(item.host, since);
+            // Not gone from a lagging list, not about to be recorded: nobody's.
+            if (now - since > Math.max(lag * 4, this.settings.timing.leaseMs)) strays.push(item.host);
+          } else if (part !== undefined && item.state === "failed") {
+            const machine = part.machines.get(item.host);
+            if (machine !== undefined && !machine.deleting) {
+              machine.deleting = true;
+              this.scope.log.info({ part: part.id, host: item.host }, "machine failed by itself");
+              void this.remove(part, [machine]);
+            }
+          }
+        }
+        if (!page.more || page.machines.length === 0) break;
+        from = page.machines[page.machines.length - 1]!.host;
+      }
+      for (const host of this.strangers.keys()) if (!unknown.has(host)) this.strangers.delete(host);
+      if (strays.length > 0 && this.leader.parts.has(Math.min(...this.leader.parts.keys()))) {
+        await this.mirror.fresh();
+        const nobodys = strays.filter((host) => this.mirror.get(keys.machine(host)) === undefined).slice(0, MAX_DELETE);
+        await this.paid();
+        await this.cloud.remove(nobodys);
+        this.stats.strays += nobodys.length;
+        this.scope.log.info({ hosts: nobodys }, "unexpected machines returned");
+      }
+    } catch (error) {
+      if (!(error instanceof NoReply)) throw error;
+    }
+  }
+}
--- /dev/null
+++ b/src/intake/codec.ts
@@ -0,0 +1,71 @@
+import { z } from "zod";
+import type { JobKind, JobSpec } from "../ledger/records.js";
+
+const MAX_NAME = 200;
+const MAX_AMOUNT = 1e9;
+const amount = z.number().finite().min(0).max(MAX_AMOUNT);
+const name = z.string().min(1).max(MAX_NAME);
+const KINDS: Record<string, JobKind> = { sweep: "array", gang: "gang", daemon: "service" };
+
+const REF = /^run-\d{6,20}$/;
+
+const wireJob = z.object({
+  ref: z.string().regex(REF, "must look like run-000412"),
+  lane: name,
+  desk: name,
+  shape: z.enum(["sweep", "gang", "daemon"]),
+  urgency: z.enum(["critical", "urgent", "normal", "low"]),
+  pieces: z.number().int().min(1).max(100_000),
+  cpus: amount,
+  accelerators: amount,
+  ramGb: amount,
+  bundle: name,
+  imageGb: amount,
+  builds: z.array(name).max(64).nullish(),
+  yard: name.nullish(),
+  samePlace: z.boolean(),
+  spread: z.boolean(),
+  loaner: z.boolean(),
+  guessS: amount,
+  snapshotS: amount,
+  flushS: amount,
+  closeS: amount.nullish(),
+});
+
+export function isRef(text: string): boolean {
+  return REF.test(text);
+}
+
+/** A submission in our names, or what is wrong with it. */
+export function decodeJob(raw: unknown): { spec: JobSpec } | { fault: string } {
+  const parsed = wireJob.safeParse(raw);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0]!;
+    return { fault: `${issue.path.join(".") || "body"}: ${issue.message}` };
+  }
+  const wire = parsed.data;
+  return {
+    spec: {
+      ref: wire.ref,
+      klass: wire.lane,
+      team: wire.desk,
+      kind: KINDS[wire.shape]!,
+      urgency: wire.urgency,
+      tasks: wire.pieces,
+      cpus: wire.cpus,
+      gpus: wire.accelerators,
+      ram: wire.ramGb,
+      types: wire.builds ?? null,
+      zone: wire.yard ?? null,
+      oneZone: wire.samePlace,
+      spread: wire.spread,
+      spot: wire.loaner,
+      image: wire.bundle,
+      imageGb: wire.imageGb,
+      guessS: wire.guessS,
+      checkpointS: wire.snapshotS,
+      flushS: wire.flushS,
+      deadlineS: wire.closeS ?? null,
+    },
+  };
+}
--- /dev/null
+++ b/src/intake/server.ts
@@ -0,0 +1,59 @@
+import express, { type ErrorRequestHandler, type Express, type Response as HttpResponse } from "express";
+import { decodeReport, encodeOrders } from "../workers/codec.js";
+import type { Leader } from "../parts/leader.js";
+import type { Jobs, Response } from "./jobs.js";
+
+const MAX_BODY = 64 * 1024;
+
+export interface FrontDoor {
+  jobs: Jobs;
+  leader: Leader;
+  /** Null: this node can take requests; otherwise why it cannot. */
+  unready: () => string | null;
+  count: (status: number) => void;
+}
+
+/** The HTTP face for users, workers and health checks. */
+export function buildApp(door: FrontDoor): Express {
+  const app = express();
+  app.disable("x-powered-by");
+  app.disable("etag");
+  app.set("query parser", "simple");
+  const body = express.json({ limit: MAX_BODY, type: () => true, strict: false, inflate: false });
+
+  const send = (res: HttpResponse, answer: Response): void => {
+    door.count(answer.status);
+    if (answer.retryAfterS !== undefined) res.set("retry-after", String(answer.retryAfterS));
+    res.status(answer.status).json(answer.body);
+  };
+
+  app.post("/v1/report", body, (req, res) => {
+    const report = decodeReport(req.body);
+    if (report === null) return send(res, { status: 400, body: { error: "not a report" } });
+    const answer = door.leader.onReport(report);
+    if (answer.kind === "silent") return send(res, { status: 503, body: { error: "not entitled to lead" }, retryAfterS: 1 });
+    if (answer.kind === "elsewhere") return send(res, { status: 421, body: answer.boss === null ? {} : { boss: answer.boss } });
+    send(res, { status: 200, body: { baton: answer.token, orders: encodeOrders(answer.orders) } });
+  });
+  app.get("/v2/runs/:ref", async (req, res) => send(res, await door.jobs.poll(req.params.ref)));
+  app.post("/v2/runs", body, async (req, res) => send(res, await door.jobs.submit(req.body)));
+  app.post("/v2/runs/:ref/cancel", async (req, res) => send(res, await door.jobs.cancel(req.params.ref)));
+  app.get("/up", (_req, res) => {
+    const reason = door.unready();
+    send(res, reason === null ? { status: 200, body: { ok: true } } : { status: 503, body: { error: reason }, retryAfterS: 1 });
+  });
+  app.use((_req, res) => send(res, { status: 404, body: { error: "no such path" } }));
+  const fault: ErrorRequestHandler = (error, _req, res, next) => {
+    if (res.headersSent) return next(error);
+    const status = Number(error?.status);
+    const bad = status >= 400 && status < 500;
+    send(
+      res,
+      bad
+        ? { status: 400, body: { error: String(error.message).slice(0, 200) } }
+        : { status: 503, body: { error: "internal fault" }, retryAfterS: 1 },
+    );
+  };
+  app.use(fault);
+  return app;
+}
--- /dev/null
+++ b/src/ledger/committer.ts
@@ -0,0 +1,178 @@
+import type { Clock } from "../platform/clock.js";
+import { sleep } from "../platform/clock.js";
+import { NoReply } from "../platform/http.js";
+import type { Log } from "../platform/log.js";
+import type { Rate } from "../platform/rate.js";
+import type { Mirror } from "./mirror.js";
+import { OverRate, type Condition, type Op, type StateApi } from "./state-client.js";
+
+export interface Draft {
+  conditions: Condition[];
+  apply: Op[];
+}
+
+/**
+ * What became of an intent. `settled`: its draft had nothing left to write;
+ * the caller reads the mirror to see how things stand. `shed`: never sent.
+ */
+export type Outcome = "done" | "settled" | "shed";
+
+interface Intent {
+  label: string;
+  draft: () => Draft | null;
+  resolve: (outcome: Outcome) => void;
+  /** Sent at least once without a definite answer: may still apply late. */
+  inDoubt: boolean;
+  shedAt: number;
+  first: boolean;
+}
+
+const MAX_QUEUE = 2000;
+const MAX_BODY = 60 * 1024;
+
+/**
+ * Group commit. Intents are drafted against the newest mirror at the moment a
+ * transaction is put together, so that each is conditional on what it has seen;
+ * one that was sent without an answer is read back and drafted again until a
+ * definite answer comes, since the first copy can still be applied late.
+ */
+export class Committer {
+  private queue: Intent[] = [];
+  private running = false;
+  stats = { transactions: 0, writes: 0, conflicts: 0, unanswered: 0 };
+
+  constructor(
+    private readonly state: StateApi,
+    private readonly mirror: Mirror,
+    private readonly clock: Clock,
+    private readonly requests: Rate,
+    private readonly writes: Rate,
+    private readonly limits: { txnOps: number; retryMs: number },
+    private readonly log: Log,
+  ) {}
+
+  get backlog(): number {
+    return this.queue.length;
+  }
+
+  /** `shedAfterMs`: give up if it could not be sent by then. `first`: before others. */
+  commit(label: string, draft: () => Draft | null, options: { shedAfterMs?: number; first?: boolean } = {}): Promise<Outcome> {
+    return new Promise((resolve) => {
+      if (this.queue.length >= MAX_QUEUE) return resolve("shed");
+      const shedAt = options.shedAfterMs === undefined ? Infinity : this.clock.now() + options.shedAfterMs;
+      this.queue.push({ label, draft, resolve, inDoubt: false, shedAt, first: options.first === true });
+      if (!this.running) void this.run();
+    });
+  }
+
+  private async run(): Promise<void> {
+    this.running = true;
+    await Promise.resolve();
+    try {
+      while (this.queue.length > 0) await this.round();
+    } finally {
+      this.running = false;
+    }
+  }
+
+  private async round(): Promise<void> {
+    const now = this.clock.now();
+    this.queue = this.queue.filter((intent) => {
+      if (intent.inDoubt || now < intent.shedAt) return true;
+      intent.resolve("shed");
+      return false;
+    });
+    if (!this.mirror.loaded) return sleep(this.clock, this.limits.retryMs);
+    const batch = this.assemble();
+    if (batch === null) return;
+    const wait = Math.max(this.requests.waitMs(1), this.writes.waitMs(batch.apply.length));
+    if (wait > 0) {
+      await sleep(this.clock, wait);
+      return; // drafted anew: more may have come to share the transaction
+    }
+    this.requests.take(1);
+    this.writes.take(batch.apply.length);
+    this.stats.transactions++;
+    this.stats.writes += batch.apply.length;
+    try {
+      const result = await this.state.txn(batch.conditions, batch.apply);
+      if (result.ok) {
+        for (const op of batch.apply) {
+          if ("write" in op) this.mirror.put(op.write, op.v, result.ledger);
+          else this.mirror.drop(op.remove, result.ledger);
+        }
+        const sent = new Set(batch.intents);
+        this.queue = this.queue.filter((intent) => !sent.has(intent));
+        for (const intent of batch.intents) intent.resolve("done");
+        return;
+      }
+      this.stats.conflicts++;
+      this.log.debug({ failed: result.failed }, "transaction conflicts; reading again");
+      await this.readBack();
+    } catch (error) {
+      if (error instanceof OverRate) {
+        this.writes.drain();
+        return sleep(this.clock, this.limits.retryMs);
+      }
+      if (!(error instanceof NoReply)) throw error;
+      if (error.kind === "unanswered") {
+        this.stats.unanswered++;
+        for (const intent of batch.intents) intent.inDoubt = true;
+      }
+      await sleep(this.clock, this.limits.retryMs);
+      await this.readBack();
+    }
+  }
+
+  private async readBack(): Promise<void> {
+    try {
+      await this.mirror.fresh();
+    } catch {
+      await sleep(this.clock, this.limits.retryMs);
+    }
+  }
+
+  private assemble(): { conditions: Condition[]; apply: Op[]; intents: Intent[] } | null {
+    const conditions = new Map<string, number>();
+    const written = new Set<string>();
+    const apply: Op[] = [];
+    const intents: Intent[] = [];
+    let bytes = 64;
+    const ordered = this.queue.some((i) => i.first) ? [...this.queue].sort((a, b) => Number(b.first) - Number(a.first)) : this.queue;
+    const settled = new Set<Intent>();
+    for (const intent of ordered) {
+      if (apply.length >= this.limits.txnOps) break;
+      const draft = intent.draft();
+      if (draft === null) {
+        settled.add(intent);
+        continue;
+      }
+      const size = JSON.stringify(draft).length;
+      const clash =
+        draft.apply.some((op) => written.has("write" in op ? op.write : op.remove)) ||
+        draft.conditions.some((c) => written.has(c.k) || (conditions.has(c.k) && conditions.get(c.k) !== c.stamp)) ||
+        draft.apply.some((op) => conditions.has("write" in op ? op.write : op.remove));
+      const merged = new Set([...conditions.keys(), ...draft.conditions.map((c) => c.k)]).size;
+      if (clash || apply.length + draft.apply.length > this.limits.txnOps || merged > 4 * this.limits.txnOps || bytes + size > MAX_BODY) {
+        if (intents.length === 0 && !clash) {
+          this.log.error({ intent: intent.label }, "an intent exceeds a transaction's limits");
+          settled.add(intent);
+        }
+        continue;
+      }
+      bytes += size;
+      intents.push(intent);
+      for (const c of draft.conditions) conditions.set(c.k, c.stamp);
+      for (const op of draft.apply) {
+        written.add("write" in op ? op.write : op.remove);
+        apply.push(op);
+      }
+    }
+    if (settled.size > 0) {
+      this.queue = this.queue.filter((intent) => !settled.has(intent));
+      for (const intent of settled) intent.resolve("settled");
+    }
+    if (intents.length === 0) return null;
+    return { conditions: [...conditions].map(([k, stamp]) => ({ k, stamp })), apply, intents };
+  }
+}
--- /dev/null
+++ b/src/ledger/mirror.ts
@@ -0,0 +1,167 @@
+import { Subject } from "rxjs";
+import type { Clock } from "../platform/clock.js";
+import { sleep } from "../platform/clock.js";
+import type { Rate } from "../platform/rate.js";
+import type { Scope } from "../platform/scope.js";
+import { keys } from "./records.js";
+import type { StateApi, StateEvent } from "./state-client.js";
+
+export interface Entry<T> {
+  v: T;
+  stamp: number;
+}
+
+const PAGE = 500;
+
+/** A copy of all records, kept up by `/follow`; knows how old it may be. */
+export class Mirror {
+  readonly changes$ = new Subject<string>();
+  private readonly tables = new Map<string, Map<string, Entry<unknown>>>();
+  private readonly removed = new Map<string, number>();
+  private position = -1;
+  /** The mirror holds all that was in the store at this steady time. */
+  provenAt = -Infinity;
+  loaded = false;
+  private freshening: Promise<void> | null = null;
+  private queued: Promise<void> | null = null;
+  private lastReadAt = -Infinity;
+
+  constructor(
+    private readonly state: StateApi,
+    private readonly clock: Clock,
+    private readonly rate: Rate,
+    private readonly pace: { readGapMs: number; blockMs: number },
+  ) {}
+
+  start(scope: Scope): void {
+    scope.routine(
+      "follow",
+      () => this.pace.readGapMs,
+      async () => {
+        try {
+          if (!this.loaded) await this.load();
+          else await this.read(this.pace.blockMs);
+        } catch (error) {
+          scope.log.debug({ err: (error as Error).message }, "mirror read failed");
+          await sleep(this.clock, this.pace.blockMs / 4);
+        }
+      },
+    );
+  }
+
+  private async load(): Promise<void> {
+    const began = this.clock.now();
+    const seen = new Map<string, number>();
+    let from: string | undefined;
+    let first = -1;
+    for (;;) {
+      await this.paid();
+      const page = await this.state.range(keys.root, from, PAGE);
+      if (first < 0) first = page.ledger;
+      for (const row of page.rows) {
+        seen.set(row.k, row.stamp);
+        this.put(row.k, row.v, row.stamp);
+      }
+      if (!page.more) break;
+      from = page.rows[page.rows.length - 1]!.k;
+    }
+    for (const table of this.tables.values()) {
+      for (const [key, entry] of table) if (!seen.has(key) && entry.stamp <= first) this.drop(key, first);
+    }
+    this.position = first;
+    this.loaded = true;
+    this.provenAt = Math.max(this.provenAt, began);
+    this.changes$.next("");
+  }
+
+  private async paid(): Promise<void> {
+    while (!this.rate.take()) await sleep(this.clock, this.rate.waitMs());
+  }
+
+  private async read(blockMs: number): Promise<void> {
+    await this.paid();
+    const began = this.clock.now();
+    this.lastReadAt = began;
+    const result = await this.state.follow(keys.root, this.position, blockMs);
+    if (result === "too-old") {
+      this.loaded = false;
+      return;
+    }
+    for (const event of result.events) this.apply(event);
+    if (result.ledger > this.position) this.position = result.ledger;
+    this.provenAt = Math.max(this.provenAt, began);
+  }
+
+  /**
+   * Resolves once a read that began after this call has been applied. Callers
+   * that come while one runs share the next: an answer given to a user must
+   * not be older than what another node has told already.
+   */
+  fresh(): Promise<void> {
+    if (this.queued !== null) return this.queued;
+    const run = async (): Promise<void> => {
+      if (this.freshening !== null) await this.freshening.catch(() => undefined);
+      const gap = this.lastReadAt + this.pace.readGapMs - this.clock.now();
+      if (gap > 0) await sleep(this.clock, gap);
+      this.queued = null;
+      const reading = this.loaded ? this.read(0) : this.load();
+      this.freshening = reading;
+      try {
+        await reading;
+        if (!this.loaded) await this.load();
+      } finally {
+        if (this.freshening === reading) this.freshening = null;
+      }
+    };
+    this.queued = run();
+    return this.queued;
+  }
+
+  private apply(event: StateEvent): void {
+    if ("write" in event) this.put(event.write, event.v, event.stamp);
+    else this.drop(event.remove, event.stamp);
+  }
+
+  private table(key: string): Map<string, Entry<unknown>> {
+    const prefix = key.slice(0, key.indexOf("/", 2) + 1);
+    let table = this.tables.get(prefix);
+    if (table === undefined) this.tables.set(prefix, (table = new Map()));
+    return table;
+  }
+
+  /** Also called with what this node wrote itself, before it comes round by `/follow`. */
+  put(key: string, v: unknown, stamp: number): void {
+    const table = this.table(key);
+    const known = table.get(key)?.stamp ?? this.removed.get(key) ?? -1;
+    if (stamp <= known) return;
+    table.set(key, { v, stamp });
+    this.removed.delete(key);
+    this.changes$.next(key);
+  }
+
+  drop(key: string, stamp: number): void {
+    const table = this.table(key);
+    const entry = table.get(key);
+    if (entry !== undefined && entry.stamp >= stamp) return;
+    table.delete(key);
+    this.removed.set(key, stamp);
+    if (this.removed.size > 20_000) this.removed.delete(this.removed.keys().next().value as string);
+    if (entry !== undefined) this.changes$.next(key);
+  }
+
+  get<T>(key: string): Entry<T> | undefined {
+    return this.table(key).get(key) as Entry<T> | undefined;
+  }
+
+  stamp(key: string): number {
+    return this.get(key)?.stamp ?? 0;
+  }
+
+  rows<T>(prefix: string): Map<string, Entry<T>> {
+    return this.table(prefix) as Map<string, Entry<T>>;
+  }
+
+  ageMs(): number {
+    return this.clock.now() - this.provenAt;
+  }
+}
--- /dev/null
+++ b/src/ledger/state-client.ts
@@ -0,0 +1,87 @@
+import { HttpClient, NoReply, type Reply } from "../platform/http.js";
+
+export interface Condition {
+  k: string;
+  stamp: number;
+}
+export type Op = { write: string; v: unknown; permit?: number } | { remove: string };
+export type StateEvent = { write: string; v: unknown; stamp: number } | { remove: string; stamp: number };
+
+export type TxnResult = { ok: true; ledger: number } | { ok: false; failed: string[]; ledger: number };
+export type FollowResult = { ledger: number; events: StateEvent[] } | "too-old";
+
+export interface Row {
+  k: string;
+  v: unknown;
+  stamp: number;
+}
+
+/** The state service as the ledger uses it; scenarios stand in for it. */
+export interface StateApi {
+  txn(conditions: Condition[], apply: Op[]): Promise<TxnResult>;
+  follow(prefix: string, from: number, blockMs: number): Promise<FollowResult>;
+  range(prefix: string, from: string | undefined, limit: number): Promise<{ rows: Row[]; more: boolean; ledger: number }>;
+  grant(ttlMs: number): Promise<number>;
+  renew(permit: number): Promise<boolean>;
+}
+
+/** 429: over the rate shared by all controllers. */
+export class OverRate extends NoReply {
+  constructor() {
+    super("refused", "over the rate");
+  }
+}
+
+export class LostPermit extends Error {}
+
+export class HttpState implements StateApi {
+  private readonly http = new HttpClient(8);
+
+  constructor(
+    private readonly addr: string,
+    private readonly timeoutMs: number,
+  ) {}
+
+  private async call(method: string, path: string, body?: unknown, extraMs = 0): Promise<Reply> {
+    const reply = await this.http.call(this.addr, method, path, body, this.timeoutMs + extraMs);
+    if (reply.status === 429) throw new OverRate();
+    if (reply.status === 503) throw new NoReply("refused", "state service refuses");
+    return reply;
+  }
+
+  async txn(conditions: Condition[], apply: Op[]): Promise<TxnResult> {
+    const reply = await this.call("POST", "/txn", { if: conditions, apply });
+    if (reply.status === 200) return { ok: true, ledger: Number(reply.body["ledger"]) };
+    if (reply.status === 409) {
+      return { ok: false, failed: (reply.body["failed"] as string[] | undefined) ?? [], ledger: Number(reply.body["ledger"]) };
+    }
+    if (reply.status === 400 && String(reply.body["error"]).includes("lease")) throw new LostPermit("no such lease");
+    throw new NoReply(reply.status >= 500 ? "unanswered" : "refused", `txn answered ${reply.status}`);
+  }
+
+  async follow(prefix: string, from: number, blockMs: number): Promise<FollowResult> {
+    const reply = await this.call("GET", `/follow?prefix=${prefix}&from=${from}&blockMs=${Math.round(blockMs)}`, undefined, blockMs);
+    if (reply.status === 410) return "too-old";
+    if (reply.status !== 200) throw new NoReply("unanswered", `follow answered ${reply.status}`);
+    return reply.body as unknown as { ledger: number; events: StateEvent[] };
+  }
+
+  async range(prefix: string, from: string | undefined, limit: number): Promise<{ rows: Row[]; more: boolean; ledger: number }> {
+    const reply = await this.call("GET", `/store?prefix=${prefix}&limit=${limit}${from === undefined ? "" : `&from=${from}`}`);
+    if (reply.status !== 200) throw new NoReply("unanswered", `range answered ${reply.status}`);
+    return { rows: reply.body["rows"] as Row[], more: Boolean(reply.body["truncated"]), ledger: Number(reply.body["ledger"]) };
+  }
+
+  async grant(ttlMs: number): Promise<number> {
+    const reply = await this.call("POST", "/leases", { ttlMs: Math.round(ttlMs) });
+    if (reply.status !== 200) throw new NoReply("unanswered", `lease answered ${reply.status}`);
+    return Number(reply.body["permit"]);
+  }
+
+  async renew(permit: number): Promise<boolean> {
+    const reply = await this.call("POST", `/leases/${permit}/renew`, {});
+    if (reply.status === 404) return false;
+    if (reply.status !== 200) throw new NoReply("unanswered", `renewal answered ${reply.status}`);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/parts/part.ts
@@ -0,0 +1,79 @@
+import type { AllotmentRecord, JobSpec } from "../ledger/records.js";
+import type { Machine } from "../workers/machine.js";
+import type { Unit } from "../queue/unit.js";
+
+/**
+ * A part as its leader holds it: machines, queue and what they use. All of it
+ * is rebuilt from records and reports whenever a new term begins.
+ */
+export interface Part {
+  id: number;
+  term: number;
+  /** `fencing`: nothing is started, moved or ceded until every machine is accounted for. */
+  phase: "fencing" | "serving";
+  since: number;
+  machines: Map<string, Machine>;
+  units: Map<string, Unit>;
+  byRef: Map<string, Set<Unit>>;
+  attempts: number;
+}
+
+export interface Usage {
+  cpus: number;
+  gpus: number;
+}
+
+export function newPart(id: number, term: number, now: number): Part {
+  return { id, term, phase: "fencing", since: now, machines: new Map(), units: new Map(), byRef: new Map(), attempts: 0 };
+}
+
+/** Attempts one term may hand out to a slice before numbers would meet the next term's. */
+const ATTEMPTS_PER_TERM = 2 ** 20;
+
+/** Terms are unique over all parts, so attempts made from them are too, and they grow. */
+export function nextAttempt(part: Part): number {
+  part.attempts = (part.attempts + 1) % ATTEMPTS_PER_TERM;
+  return part.term * ATTEMPTS_PER_TERM + part.attempts;
+}
+
+export function addUnit(part: Part, unit: Unit): void {
+  part.units.set(unit.key, unit);
+  const same = part.byRef.get(unit.spec.ref);
+  if (same === undefined) part.byRef.set(unit.spec.ref, new Set([unit]));
+  else same.add(unit);
+}
+
+export function removeUnit(part: Part, unit: Unit): void {
+  part.units.delete(unit.key);
+  const same = part.byRef.get(unit.spec.ref);
+  same?.delete(unit);
+  if (same?.size === 0) part.byRef.delete(unit.spec.ref);
+}
+
+/** What each team's tasks use in this part, counting all that may be on a machine. */
+export function usageByTeam(part: Part): Map<string, Usage> {
+  const usage = new Map<string, Usage>();
+  for (const machine of part.machines.values()) {
+    for (const placement of machine.placements.values()) {
+      const { team, cpus, gpus } = placement.unit.spec;
+      const entry = usage.get(team) ?? { cpus: 0, gpus: 0 };
+      entry.cpus += cpus;
+      entry.gpus += gpus;
+      usage.set(team, entry);
+    }
+  }
+  return usage;
+}
+
+/** Of the team's limit, what this part holds. */
+export function allotted(record: AllotmentRecord | undefined, part: number): Usage {
+  if (record === undefined) return { cpus: 0, gpus: 0 };
+  return { cpus: record.cpus[part] ?? Infinity, gpus: record.gpus[part] ?? Infinity };
+}
+
+export function tasksWithin(spec: JobSpec, room: Usage): number {
+  const slack = 1e-6;
+  const byCpus = spec.cpus > 0 ? Math.floor((room.cpus + slack) / spec.cpus) : Infinity;
+  const byGpus = spec.gpus > 0 ? Math.floor((room.gpus + slack) / spec.gpus) : Infinity;
+  return Math.max(0, Math.min(byCpus, byGpus));
+}
--- /dev/null
+++ b/src/peers/links.ts
@@ -0,0 +1,119 @@
+import { createServer, connect, type Server, type Socket } from "node:net";
+import { Subject } from "rxjs";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import type { Scope } from "../platform/scope.js";
+import type { Settings } from "../settings/derived.js";
+import { encodeFrame, FrameReader, PROTOCOL_VERSION, type Message } from "./messages.js";
+
+/** Peers as the exchange uses them; scenarios stand in for it. */
+export interface PeerApi {
+  readonly incoming$: Subject<{ from: string; message: Message }>;
+  send(node: string, message: Message): boolean;
+}
+
+const MAX_BUFFERED = 256 * 1024;
+
+/** One outgoing connection to each peer; what comes in on others is only read. */
+export class PeerLinks implements PeerApi {
+  readonly incoming$ = new Subject<{ from: string; message: Message }>();
+  private readonly out = new Map<string, Socket>();
+  private readonly inbound = new Set<Socket>();
+  private server: Server | null = null;
+  private readonly luck;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly scope: Scope,
+    seed: number,
+  ) {
+    this.luck = xoroshiro128plus(seed);
+  }
+
+  start(): void {
+    const [host, port] = this.settings.platform.peer_listen.split(":") as [string, string];
+    this.server = createServer((socket) => this.accept(socket));
+    this.server.maxConnections = this.settings.nodes.length * 4;
+    this.server.on("error", (error) => this.scope.log.error({ err: error.message }, "peer listener failed"));
+    this.server.listen(Number(port), host);
+    for (const peer of this.settings.platform.known) this.keep(peer.host_name, peer.peer_addr, 0);
+    this.scope.onEnd(() => {
+      this.server?.close();
+      for (const socket of [...this.out.values(), ...this.inbound]) socket.destroy();
+    });
+  }
+
+  /** A routine for each peer: connect, greet, and again after a jittered pause. */
+  private keep(node: string, addr: string, failures: number): void {
+    if (this.scope.closed) return;
+    const { reportMs } = this.settings.timing;
+    const [host, port] = addr.split(":") as [string, string];
+    const socket = connect({ host, port: Number(port), noDelay: true });
+    let greeted = false;
+    const limit = this.scope.clock.after(reportMs, () => {
+      if (!greeted) socket.destroy();
+    });
+    socket.on("connect", () => {
+      greeted = true;
+      limit();
+      socket.write(encodeFrame({ Hello: { version: PROTOCOL_VERSION, node: this.settings.self } }));
+      this.out.set(node, socket);
+    });
+    socket.on("error", (error) => this.scope.log.debug({ peer: node, err: error.message }, "peer link failed"));
+    socket.on("data", () => undefined);
+    socket.on("close", () => {
+      limit();
+      if (this.out.get(node) === socket) this.out.delete(node);
+      const tries = greeted ? 0 : failures + 1;
+      const pause = Math.min(reportMs * 4, (reportMs / 10) * 2 ** Math.min(tries, 6));
+      this.scope.clock.after(pause * (0.5 + uniformInt(this.luck, 0, 1000) / 1000), () => this.keep(node, addr, tries));
+    });
+  }
+
+  private accept(socket: Socket): void {
+    this.inbound.add(socket);
+    const reader = new FrameReader();
+    let from: string | null = null;
+    const drop = (reason: string): void => {
+      if (!socket.destroyed) this.scope.log.info({ peer: from ?? "unknown", reason }, "peer connection closed");
+      socket.destroy();
+    };
+    const limit = this.scope.clock.after(this.settings.timing.reportMs, () => {
+      if (from === null) drop("no hello");
+    });
+    socket.on("data", (chunk: Buffer) => {
+      try {
+        for (const message of reader.push(chunk)) {
+          if (from === null) {
+            if (!("Hello" in message)) return drop("no hello");
+            if (message.Hello.version !== PROTOCOL_VERSION) return drop(`version ${message.Hello.version}`);
+            if (!this.settings.nodes.includes(message.Hello.node)) return drop("unknown node");
+            from = message.Hello.node;
+          } else this.incoming$.next({ from, message });
+        }
+      } catch (error) {
+        drop(`malformed: ${(error as Error).message}`);
+      }
+    });
+    socket.on("error", () => undefined);
+    socket.on("close", () => {
+      limit();
+      this.inbound.delete(socket);
+    });
+  }
+
+  send(node: string, message: Message): boolean {
+    if (node === this.settings.self) {
+      queueMicrotask(() => this.incoming$.next({ from: node, message }));
+      return true;
+    }
+    const socket = this.out.get(node);
+    if (socket === undefined || socket.destroyed) return false;
+    if (socket.writableLength > MAX_BUFFERED) {
+      socket.destroy(); // a peer that does not read is as good as gone
+      return false;
+    }
+    socket.write(encodeFrame(message));
+    return true;
+  }
+}
--- /dev/null
+++ b/src/platform/http.ts
@@ -0,0 +1,85 @@
+import { Agent, request } from "node:http";
+
+export interface Reply {
+  status: number;
+  body: Record<string, unknown>;
+}
+
+/**
+ * `refused`: certainly not executed. `unanswered`: may have been executed, or
+ * may yet be, so callers must read back and condition what they repeat.
+ */
+export class NoReply extends Error {
+  constructor(
+    readonly kind: "refused" | "unanswered",
+    message: string,
+  ) {
+    super(message);
+  }
+}
+
+const MAX_REPLY_BYTES = 64 * 1024 * 1024;
+
+export class HttpClient {
+  private readonly agent: Agent;
+
+  constructor(maxSockets: number) {
+    this.agent = new Agent({ keepAlive: true, maxSockets, maxFreeSockets: 4, scheduling: "lifo" });
+  }
+
+  call(addr: string, method: string, path: string, body: unknown, timeoutMs: number): Promise<Reply> {
+    return new Promise((resolve, reject) => {
+      const colon = addr.lastIndexOf(":");
+      const payload = body === undefined ? undefined : JSON.stringify(body);
+      let settled = false;
+      const fail = (kind: "refused" | "unanswered", message: string): void => {
+        if (settled) return;
+        settled = true;
+        clearTimeout(timer);
+        reject(new NoReply(kind, message));
+      };
+      const req = request(
+        {
+          host: addr.slice(0, colon),
+          port: Number(addr.slice(colon + 1)),
+          method,
+          path,
+          agent: this.agent,
+          headers: payload === undefined ? {} : { "content-type": "application/json", "content-length": Buffer.byteLength(payload) },
+        },
+        (res) => {
+          const chunks: Buffer[] = [];
+          let size = 0;
+          res.on("data", (chunk: Buffer) => {
+            size += chunk.length;
+            if (size > MAX_REPLY_BYTES) req.destroy();
+            else chunks.push(chunk);
+          });
+          res.on("end", () => {
+            if (settled) return;
+            settled = true;
+            clearTimeout(timer);
+            const text = Buffer.concat(chunks).toString("utf8");
+            try {
+              const parsed: unknown = text === "" ? {} : JSON.parse(text);
+              resolve({
+                status: res.statusCode ?? 0,
+                body: parsed !== null && typeof parsed === "object" ? (parsed as Record<string, unknown>) : {},
+              });
+            } catch {
+              reject(new NoReply("unanswered", "reply is not JSON"));
+            }
+          });
+          res.on("error", (error) => fail("unanswered", error.message));
+          res.on("close", () => fail("unanswered", "reply cut short"));
+        },
+      );
+      const timer = setTimeout(() => {
+        fail("unanswered", "timeout");
+        req.destroy();
+      }, timeoutMs);
+      req.on("error", (error: NodeJS.ErrnoException) => fail(error.code === "ECONNREFUSED" ? "refused" : "unanswered", error.message));
+      req.end(payload);
+    });
+  }
+}
--- /dev/null
+++ b/src/platform/rate.ts
@@ -0,0 +1,47 @@
+import type { Clock } from "./clock.js";
+
+/** A token bucket with one second's worth of burst. */
+export class Rate {
+  private tokens: number;
+  private at: number;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly perSecond: number,
+    private readonly burst = perSecond,
+  ) {
+    this.tokens = burst;
+    this.at = clock.now();
+  }
+
+  private refill(): void {
+    const now = this.clock.now();
+    this.tokens = Math.min(this.burst, this.tokens + ((now - this.at) / 1000) * this.perSecond);
+    this.at = now;
+  }
+
+  available(): number {
+    this.refill();
+    return this.tokens;
+  }
+
+  take(count = 1): boolean {
+    this.refill();
+    if (this.tokens < Math.min(count, this.burst)) return false;
+    this.tokens -= count;
+    return true;
+  }
+
+  /** Milliseconds until `count` tokens are there. */
+  waitMs(count = 1): number {
+    this.refill();
+    const missing = Math.min(count, this.burst) - this.tokens;
+    return missing <= 0 ? 0 : (missing / this.perSecond) * 1000 + 1;
+  }
+
+  /** The service on the other side says it has had enough. */
+  drain(): void {
+    this.refill();
+    this.tokens = Math.min(this.tokens, 0);
+  }
+}
--- /dev/null
+++ b/src/queue/pass.ts
@@ -0,0 +1,105 @@
+import { nextAttempt, tasksWithin, usageByTeam, type Part, type Usage } from "../parts/part.js";
+import { attemptKey, freeRoom, usable, type Machine } from "../workers/machine.js";
+import { inOrder } from "./order.js";
+import { placeTasks, type Slot } from "./placement.js";
+import { pieceName, place, type Placement, type Unit } from "./unit.js";
+
+export interface PassContext {
+  now: number;
+  silentMs: number;
+  order: "urgency" | "arrival";
+  backfill: boolean;
+  /** Of each team's limit, what this part holds at present. */
+  allotment: (team: string) => Usage;
+}
+
+export interface PassResult {
+  /** Machines that have new orders. */
+  touched: Set<Machine>;
+  /** Slices held up by their team's allotment here, with the tasks that wait. */
+  short: Map<string, Usage>;
+}
+
+/** Where tasks of the same job are, or may be, whatever slice they belong to. */
+export function zonesInUse(part: Part, unit: Unit): Map<string, number> {
+  const zones = new Map<string, number>();
+  if (!unit.spec.oneZone && !unit.spec.spread) return zones;
+  for (const machine of part.machines.values()) {
+    for (const placement of machine.placements.values()) {
+      if (placement.unit.spec.ref === unit.spec.ref) zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + 1);
+    }
+  }
+  return zones;
+}
+
+export function usableSlots(part: Part, now: number, silentMs: number): Slot[] {
+  const slots: Slot[] = [];
+  for (const machine of part.machines.values()) {
+    if (usable(machine, now, silentMs)) slots.push({ machine, free: freeRoom(machine) });
+  }
+  return slots;
+}
+
+export function ready(unit: Unit, now: number): boolean {
+  if (unit.ended || unit.leaving || unit.waiting.length === 0 || unit.notBefore > now) return false;
+  // A gang starts anew only when all of its former attempt is gone.
+  return unit.spec.kind !== "gang" || unit.placed.size === 0;
+}
+
+/** Goes over the queue once and gives out all the room there is. */
+export function runPass(part: Part, context: PassContext): PassResult {
+  const result: PassResult = { touched: new Set(), short: new Map() };
+  if (part.phase !== "serving") return result;
+  const waiting = [...part.units.values()].filter((unit) => ready(unit, context.now));
+  if (waiting.length === 0) return result;
+  const slots = usableSlots(part, context.now, context.silentMs);
+  const usage = usageByTeam(part);
+  const hopeless = new Set<string>();
+  for (const unit of inOrder(waiting, context.order)) {
+    const { spec } = unit;
+    const shape = `${spec.kind === "gang" ? unit.waiting.length : 1}|${spec.cpus}|${spec.gpus}|${spec.ram}|${spec.types?.join() ?? ""}|${spec.zone}|${spec.spot}|${spec.oneZone}`;
+    if (hopeless.has(shape) && unit.failedOn.size === 0) continue;
+    const used = usage.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    const allotment = context.allotment(spec.team);
+    const room = tasksWithin(spec, { cpus: allotment.cpus - used.cpus, gpus: allotment.gpus - used.gpus });
+    const wanted = unit.waiting.length;
+    const within = Math.min(wanted, room);
+    if (within < wanted) {
+      const entry = result.short.get(spec.team) ?? { cpus: 0, gpus: 0 };
+      entry.cpus += spec.cpus * (wanted - within);
+      entry.gpus += spec.gpus * (wanted - within);
+      result.short.set(spec.team, entry);
+    }
+    const isGang = spec.kind === "gang";
+    if (within === 0 || (isGang && within < wanted)) continue;
+    const chosen = placeTasks(spec, within, slots, zonesInUse(part, unit), unit.failedOn, isGang);
+    if (chosen.length < within) {
+      hopeless.add(shape);
+      if (chosen.length === 0) {
+        if (!context.backfill) break;
+        continue;
+      }
+    }
+    const gangAttempt = isGang ? nextAttempt(part) : null;
+    const tasks = unit.waiting.slice(0, chosen.length);
+    chosen.forEach((slot, i) => {
+      const placement: Placement = {
+        unit,
+        task: tasks[i]!,
+        attempt: gangAttempt ?? nextAttempt(part),
+        host: slot.machine.host,
+        orderedAt: context.now,
+        state: null,
+        runningAt: null,
+        direct: "none",
+        stop: null,
+        offeredSeq: -1,
+      };
+      place(unit, placement);
+      slot.machine.placements.set(attemptKey(pieceName(unit, placement.task), placement.attempt), placement);
+      result.touched.add(slot.machine);
+    });
+    usage.set(spec.team, { cpus: used.cpus + spec.cpus * chosen.length, gpus: used.gpus + spec.gpus * chosen.length });
+  }
+  return result;
+}
--- /dev/null
+++ b/src/queue/unit.ts
@@ -0,0 +1,97 @@
+import { Bits } from "../platform/bits.js";
+import type { JobSpec } from "../ledger/records.js";
+import type { TaskState } from "../workers/machine.js";
+
+/** One attempt at one task on one machine, from its start order until proven gone. */
+export interface Placement {
+  unit: Unit;
+  task: number;
+  attempt: number;
+  host: string;
+  orderedAt: number;
+  /** As last reported; null until a report has shown it. */
+  state: TaskState | null;
+  runningAt: number | null;
+  /**
+   * `unresolved`: a direct start got no answer, so it may still arrive as long
+   * as the session lasts. Such an attempt is never cleared, or it would start anew.
+   */
+  direct: "none" | "flying" | "unresolved" | "answered";
+  stop: { graceS: number } | null;
+  /** The newest report whose answer carried the start. */
+  offeredSeq: number;
+}
+
+/** A slice of a job, the unit that parts own, queue and move. */
+export interface Unit {
+  key: string;
+  spec: JobSpec;
+  lo: number;
+  hi: number;
+  done: Bits;
+  /** Tasks neither done nor placed, in the order they should start. */
+  waiting: number[];
+  placed: Map<number, Placement>;
+  submittedWall: number;
+  arrivedAt: number;
+  moved: boolean;
+  /** A transaction that gives it away is under way: it must not be started. */
+  leaving: boolean;
+  started: boolean;
+  notBefore: number;
+  failures: number;
+  /** Hosts on which it failed, so that the next try goes elsewhere. */
+  failedOn: Map<string, number>;
+  ended: boolean;
+  committing: boolean;
+}
+
+export function pieceName(unit: Unit, task: number): string {
+  return `${unit.spec.ref}/${unit.lo + task}`;
+}
+
+export function newUnit(key: string, spec: JobSpec, lo: number, hi: number, done: Bits, submittedWall: number, now: number): Unit {
+  const waiting: number[] = [];
+  for (let i = 0; i < hi - lo; i++) if (!done.has(i)) waiting.push(i);
+  return {
+    key,
+    spec,
+    lo,
+    hi,
+    done,
+    waiting,
+    placed: new Map(),
+    submittedWall,
+    arrivedAt: now,
+    moved: false,
+    leaving: false,
+    started: false,
+    notBefore: -Infinity,
+    failures: 0,
+    failedOn: new Map(),
+    ended: false,
+    committing: false,
+  };
+}
+
+export function place(unit: Unit, placement: Placement): void {
+  unit.placed.set(placement.task, placement);
+  unit.started = true;
+  const at = unit.waiting.indexOf(placement.task);
+  if (at >= 0) unit.waiting.splice(at, 1);
+}
+
+/** The attempt is proven gone: the task may start again unless it is done. */
+export function release(unit: Unit, placement: Placement): void {
+  if (unit.placed.get(placement.task) !== placement) return;
+  unit.placed.delete(placement.task);
+  if (!unit.done.has(placement.task) && !unit.waiting.includes(placement.task)) {
+    unit.waiting.unshift(placement.task);
+  }
+}
+
+export function markDone(unit: Unit, task: number): void {
+  unit.done.set(task);
+  const at = unit.waiting.indexOf(task);
+  if (at >= 0) unit.waiting.splice(at, 1);
+}
--- /dev/null
+++ b/src/serve.ts
@@ -0,0 +1,54 @@
+import { createServer } from "node:http";
+import { randomInt } from "node:crypto";
+import { Controller } from "./controller.js";
+import { HttpCloud } from "./fleet/cloud-client.js";
+import { buildApp } from "./intake/server.js";
+import { HttpState } from "./ledger/state-client.js";
+import { PeerLinks } from "./peers/links.js";
+import { systemClock } from "./platform/clock.js";
+import { openLog } from "./platform/log.js";
+import { Scope } from "./platform/scope.js";
+import type { Settings } from "./settings/derived.js";
+import { HttpWorkers } from "./workers/worker-client.js";
+
+/** Runs one controller until the process is ended. */
+export function serve(settings: Settings): void {
+  const log = openLog(settings.self);
+  const scope = new Scope(systemClock, log);
+  const { endpoints, deployment, front } = settings.platform;
+  const { timing } = settings;
+  const peers = new PeerLinks(settings, scope, randomInt(2 ** 31));
+  const controller = new Controller(
+    settings,
+    {
+      state: new HttpState(endpoints.state, timing.stateTimeoutMs),
+      cloud: new HttpCloud(endpoints.cloud, timing.reportMs * 2),
+      workers: new HttpWorkers(timing.workerTimeoutMs),
+      peers,
+    },
+    scope,
+  );
+  const answers = new Map<number, number>();
+  const app = buildApp({
+    jobs: controller.jobs,
+    leader: controller.leader,
+    unready: () => controller.unready(),
+    count: (status) => answers.set(status, (answers.get(status) ?? 0) + 1),
+  });
+  const server = createServer(app);
+  // Peers, workers and clients close connections; we keep them, within the quota.
+  server.keepAliveTimeout = 0;
+  server.maxConnections = Math.floor(deployment.quota.sockets * 0.8);
+  server.on("error", (error) => {
+    log.error({ front, err: error.message }, "cannot listen");
+    process.exit(1);
+  });
+  const [host, port] = front.split(":") as [string, string];
+  server.listen(Number(port), host);
+  scope.onEnd(() => server.close());
+  process.on("uncaughtException", (error) => log.error({ err: String(error.stack ?? error) }, "unexpected fault"));
+  process.on("unhandledRejection", (reason) => log.error({ err: String((reason as Error)?.stack ?? reason) }, "unexpected rejection"));
+  peers.start();
+  controller.start();
+  log.info({ parts: settings.nodes.length, timing }, "started");
+}
--- /dev/null
+++ b/src/settings/derived.ts
@@ -0,0 +1,54 @@
+import type { OperatorSettings } from "./operators.js";
+import type { PlatformSettings } from "./platform-file.js";
+
+/** Clocks of different machines drift apart by at most this (PROTOCOL). */
+const DRIFT = 0.0005;
+
+/** Figures the service works with, each a ratio to one of the settings. */
+export interface Timing {
+  leaseMs: number;
+  reportMs: number;
+  /** Without proof of contact for this long, a node must not lead its part. */
+  silentAfterMs: number;
+  /** After the last valid answer, a worker's tasks are gone by then. */
+  expiryMs: number;
+  /** A node whose presence was not renewed for this long counts as gone. */
+  presenceMs: number;
+  stateTimeoutMs: number;
+  workerTimeoutMs: number;
+}
+
+export interface Settings {
+  platform: PlatformSettings;
+  operators: OperatorSettings;
+  timing: Timing;
+  /** All controllers in one agreed order; parts have the same numbers. */
+  nodes: string[];
+  self: string;
+}
+
+export function derive(platform: PlatformSettings, operators: OperatorSettings): Settings {
+  const { workers } = platform.deployment;
+  const leaseMs = workers.lease_s * 1000;
+  const reportMs = workers.report_s * 1000;
+  const expiryMs = leaseMs * (1 + 2 * DRIFT) + reportMs / 5;
+  // A cancellation told elsewhere at the moment of our last proof must have
+  // cleared by cancel_s: we fall silent, then the lease runs out.
+  const silentAfterMs = Math.max(reportMs, workers.cancel_s * 1000 * (1 - DRIFT) - expiryMs - reportMs);
+  const nodes = [platform.host_name, ...platform.known.map((peer) => peer.host_name)].sort();
+  return {
+    platform,
+    operators,
+    self: platform.host_name,
+    nodes,
+    timing: {
+      leaseMs,
+      reportMs,
+      silentAfterMs,
+      expiryMs,
+      presenceMs: leaseMs / 2,
+      stateTimeoutMs: leaseMs / 9,
+      workerTimeoutMs: reportMs * 0.8,
+    },
+  };
+}
--- /dev/null
+++ b/src/settings/operators.ts
@@ -0,0 +1,46 @@
+import { z } from "zod";
+import { describeIssues, SettingsError } from "./platform-file.js";
+
+const seconds = z.number().finite().min(0);
+const ratio = z.number().finite().positive();
+
+/** What operators may tune; see docs/operations.md for the meaning of each. */
+const schema = z.strictObject({
+  exchange: z
+    .strictObject({
+      phi: seconds.default(5),
+      delta: z.number().min(0).max(1).default(0.7),
+      sigma: seconds.min(0.1).default(10),
+      epsilon: z.number().min(0).max(1).default(0.1),
+      answer_limit: seconds.min(0.05).default(2),
+      mode: z.enum(["symmetric", "volunteers", "ask", "off"]).default("symmetric"),
+    })
+    .prefault({}),
+  queue: z
+    .strictObject({
+      order: z.enum(["urgency", "arrival"]).default("urgency"),
+      backfill: z.boolean().default(true),
+      guesses: z.enum(["learned", "owner"]).default("learned"),
+    })
+    .prefault({}),
+  fleet: z
+    .strictObject({
+      idle_per_boot: ratio.default(1),
+      late_per_boot: ratio.default(3),
+    })
+    .prefault({}),
+});
+
+export type OperatorSettings = z.infer<typeof schema>;
+
+/** Takes the tree an HCL parser yields: blocks are lists with one entry. */
+export function checkOperators(file: string, tree: unknown): OperatorSettings {
+  const flat: Record<string, unknown> = {};
+  for (const [name, value] of Object.entries((tree ?? {}) as Record<string, unknown>)) {
+    if (Array.isArray(value) && value.length > 1) throw new SettingsError(`${file}: ${name}: given more than once`);
+    flat[name] = Array.isArray(value) ? value[0] : value;
+  }
+  const result = schema.safeParse(flat);
+  if (!result.success) throw new SettingsError(describeIssues(file, result.error));
+  return result.data;
+}
--- /dev/null
+++ b/src/settings/platform-file.ts
@@ -0,0 +1,78 @@
+import { parse } from "smol-toml";
+import { z } from "zod";
+
+const amount = z.number().finite().min(0);
+const positive = z.number().finite().positive();
+const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "an address like 10.0.0.1:8080");
+
+/** The file the platform hands over. Fields it does not name are ignored. */
+const schema = z.object({
+  host_name: z.string().min(1),
+  area: z.string().default(""),
+  front: address,
+  peer_listen: address,
+  known: z.array(z.object({ host_name: z.string().min(1), area: z.string().default(""), peer_addr: address })).default([]),
+  endpoints: z.object({ cloud: address, state: address }),
+  deployment: z.object({
+    size: z.number().int().min(1),
+    zones: z.array(z.string()).default([]),
+    clock_off_ms: amount.default(1000),
+    teams: z
+      .array(
+        z.object({
+          name: z.string().min(1),
+          cpus: amount.default(0),
+          cpus_max: amount.default(0),
+          gpus: amount.default(0),
+          gpus_max: amount.default(0),
+        }),
+      )
+      .default([]),
+    objectives: z
+      .array(
+        z.object({
+          kind: z.string(),
+          class: z.string().optional(),
+          within_s: amount.optional(),
+          share: amount.optional(),
+        }),
+      )
+      .default([]),
+    workers: z.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: positive,
+      gang_peer_s: positive,
+      cancel_s: positive,
+    }),
+    state: z.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: z.number().int().min(4),
+    }),
+    cloud: z.object({ rps: positive, list_lag_s: amount }),
+    quota: z.object({ core_share: positive, mem_mb: positive, sockets: z.number().int().min(16) }),
+  }),
+});
+
+export type PlatformSettings = z.infer<typeof schema>;
+export type TeamSettings = PlatformSettings["deployment"]["teams"][number];
+
+export class SettingsError extends Error {}
+
+export function describeIssues(file: string, error: z.ZodError): string {
+  return error.issues.map((issue) => `${file}: ${issue.path.join(".") || "(top)"}: ${issue.message}`).join("; ");
+}
+
+export function parsePlatform(file: string, text: string): PlatformSettings {
+  let raw: unknown;
+  try {
+    raw = parse(text);
+  } catch (error) {
+    throw new SettingsError(`${file}: not TOML: ${(error as Error).message.split("\n")[0]}`);
+  }
+  const result = schema.safeParse(raw);
+  if (!result.success) throw new SettingsError(describeIssues(file, result.error));
+  return result.data;
+}
--- /dev/null
+++ b/src/workers/codec.ts
@@ -0,0 +1,60 @@
+import { z } from "zod";
+import type { ExitCause, Order, Report, ReportedTask, TaskState } from "./machine.js";
+
+const count = z.number().int().min(0);
+
+const wireReport = z.object({
+  host: z.string().min(1),
+  addr: z.string().default(""),
+  build: z.string().default(""),
+  yard: z.string().default(""),
+  loaner: z.boolean().nullish(),
+  shift: count,
+  tick: count,
+  baton: count.nullish(),
+  warningS: z.number().nullish(),
+  pieces: z
+    .array(
+      z.object({
+        piece: z.string().regex(/^.+\/\d+$/),
+        try: count,
+        status: z.enum(["fetching", "gathering", "running", "saving", "exited"]),
+        cause: z.string().nullish(),
+        kept: z.boolean().nullish(),
+      }),
+    )
+    .nullish(),
+});
+
+/** A worker's report in our names; null if it is not one. */
+export function decodeReport(raw: unknown): Report | null {
+  const parsed = wireReport.safeParse(raw);
+  if (!parsed.success) return null;
+  const wire = parsed.data;
+  return {
+    host: wire.host,
+    addr: wire.addr,
+    type: wire.build,
+    zone: wire.yard,
+    spot: wire.loaner ?? false,
+    session: wire.shift,
+    seq: wire.tick,
+    token: wire.baton ?? 0,
+    noticeS: wire.warningS ?? null,
+    tasks: (wire.pieces ?? []).map((p): ReportedTask => ({
+      piece: p.piece,
+      attempt: p.try,
+      state: p.status as TaskState,
+      cause: (p.cause ?? null) as ExitCause | null,
+      saved: p.kept ?? false,
+    })),
+  };
+}
+
+export function encodeOrders(orders: Order[]): Record<string, unknown>[] {
+  return orders.map((order) =>
+    order.verb === "stop"
+      ? { verb: "stop", piece: order.piece, try: order.attempt, windDownS: order.graceS }
+      : { verb: order.verb, piece: order.piece, try: order.attempt },
+  );
+}
--- /dev/null
+++ b/src/workers/dispatch.ts
@@ -0,0 +1,73 @@
+import type { Leader } from "../parts/leader.js";
+import type { Part } from "../parts/part.js";
+import { NoReply } from "../platform/http.js";
+import type { Scope } from "../platform/scope.js";
+import { pieceName } from "../queue/unit.js";
+import { attemptKey, type Machine } from "./machine.js";
+import { ordersFor } from "./reports.js";
+import type { WorkerApi } from "./worker-client.js";
+
+const MAX_DIRECT = 100;
+
+/**
+ * Sends orders straight to workers, for speed; every order also goes out with
+ * the answer to the next report. While fencing, sends the new token alone.
+ */
+export class Dispatch {
+  constructor(
+    private readonly leader: Leader,
+    private readonly workers: WorkerApi,
+    private readonly scope: Scope,
+  ) {}
+
+  start(): void {
+    this.scope.listen(this.leader.dispatch$, ({ part, machine }) => void this.send(part, machine));
+  }
+
+  private async send(part: Part, machine: Machine): Promise<void> {
+    const { timing } = this.leader.settings;
+    const now = this.scope.clock.now();
+    if (machine.directBusy || machine.addr === null || machine.deleting || this.leader.silent()) return;
+    if (this.leader.parts.get(part.id) !== part) return;
+    const fencing = !machine.fenced;
+    if (!machine.up || (!fencing && (machine.lost || now - machine.directFailedAt < timing.leaseMs / 4))) return;
+    const orders = fencing ? [] : ordersFor(machine, "direct", () => false, MAX_DIRECT);
+    if (!fencing && orders.length === 0) return;
+    machine.directBusy = true;
+    const session = Math.max(1, machine.session);
+    const starts = orders.filter((o) => o.verb === "start").map((o) => attemptKey(o.piece, o.attempt));
+    for (const key of starts) {
+      machine.held.add(key);
+      machine.placements.get(key)!.direct = "flying";
+    }
+    const settle = (direct: "none" | "unresolved" | "answered"): void => {
+      if (machine.session !== session) return; // a new session: nothing of this can take effect
+      for (const key of starts) {
+        if (direct !== "unresolved") machine.held.delete(key);
+        const placement = machine.placements.get(key);
+        if (placement !== undefined && placement.direct === "flying") placement.direct = direct;
+      }
+    };
+    let again = false;
+    try {
+      const reply = await this.workers.command(machine.addr, part.term, session, orders);
+      settle(reply.executed ? "answered" : "none");
+      again = fencing && !reply.executed && reply.report.session !== session;
+      if (fencing && reply.executed && machine.answeredAt > now) machine.answeredAt = this.scope.clock.now();
+      this.leader.onCommandReply(part, machine, reply.report);
+    } catch (error) {
+      if (!(error instanceof NoReply)) throw error;
+      settle(error.kind === "refused" ? "none" : "unresolved");
+      machine.directFailedAt = this.scope.clock.now();
+    } finally {
+      machine.directBusy = false;
+    }
+    const more = [...machine.placements.values()].some(
+      (p) =>
+        (p.state === null && p.direct === "none" && p.stop === null) ||
+        (p.stop !== null &&
+          !orders.some((o) => o.verb === "stop" && attemptKey(o.piece, o.attempt) === attemptKey(pieceName(p.unit, p.task), p.attempt))),
+    );
+    if (again || more) void this.send(part, machine);
+  }
+}
--- /dev/null
+++ b/src/workers/reports.ts
@@ -0,0 +1,234 @@
+import type { Part } from "../parts/part.js";
+import { markDone, pieceName, place, release, type Placement, type Unit } from "../queue/unit.js";
+import { attemptKey, type Machine, type Order, type Report, type ReportedTask } from "./machine.js";
+
+/** What a report brought about, for the shell to act on. */
+export interface Findings {
+  /** Something changed that may let queued work start. */
+  changed: boolean;
+  /** Slices with tasks done that are not yet recorded. */
+  finished: Set<Unit>;
+  /** Run times of tasks seen from running to done, for the estimator. */
+  runs: { unit: Unit; seconds: number; host: string }[];
+  /** Gangs that lost a member and must come down before they can start again. */
+  broken: Set<Unit>;
+}
+
+export interface ReportContext {
+  now: number;
+  /** Sent by the worker itself, not the body of an answer to us. */
+  viaReport: boolean;
+  /** Finds a slice of this part by job and task number. */
+  unitOf: (ref: string, task: number) => { unit: Unit; task: number } | null;
+  /** A stand-in for work that belongs elsewhere or has ended, so that its use counts. */
+  strangerOf: (ref: string) => Unit;
+  leaseMs: number;
+  coolMs: number;
+}
+
+export function newFindings(): Findings {
+  return { changed: false, finished: new Set(), runs: [], broken: new Set() };
+}
+
+function splitPiece(piece: string): { ref: string; task: number } {
+  const slash = piece.lastIndexOf("/");
+  return { ref: piece.slice(0, slash), task: Number(piece.slice(slash + 1)) };
+}
+
+/** Takes an attempt off its machine: it is proven gone there. */
+function gone(machine: Machine, key: string, placement: Placement, now: number, findings: Findings): void {
+  machine.placements.delete(key);
+  release(placement.unit, placement);
+  findings.changed = true;
+  if (placement.unit.spec.kind === "gang" && placement.unit.placed.size > 0 && !placement.unit.done.full) {
+    findings.broken.add(placement.unit);
+  }
+  if (machine.placements.size === 0) machine.idleSince = now;
+}
+
+/** The worker's lease ran out, the machine was deleted, or a new session began. */
+export function dropAll(machine: Machine, now: number, findings: Findings): void {
+  for (const [key, placement] of [...machine.placements]) gone(machine, key, placement, now, findings);
+  machine.exited.clear();
+}
+
+function blame(machine: Machine, unit: Unit, context: ReportContext): void {
+  unit.failures++;
+  unit.failedOn.set(machine.host, (unit.failedOn.get(machine.host) ?? 0) + 1);
+  const elsewhere = unit.failedOn.size > 1;
+  if (elsewhere) {
+    // It fails wherever it goes: the job is at fault, so it must not hog machines.
+    unit.notBefore = context.now + Math.min(context.leaseMs * 3, context.coolMs * 2 ** Math.min(unit.failures, 8));
+  }
+  machine.errors.set(unit.spec.ref, (machine.errors.get(unit.spec.ref) ?? 0) + 1);
+  if (machine.errors.size > 1) machine.draining = true;
+  else machine.avoidUntil = context.now + context.coolMs * 2;
+}
+
+function exits(machine: Machine, key: string, placement: Placement, task: ReportedTask, context: ReportContext, findings: Findings): void {
+  const { unit } = placement;
+  switch (task.cause) {
+    case "done":
+      if (placement.runningAt !== null)
+        findings.runs.push({ unit, seconds: (context.now - placement.runningAt) / 1000, host: machine.host });
+      // A gang completes together: when one of its tasks is done, all are.
+      if (unit.spec.kind === "gang") for (let i = 0; i < unit.hi - unit.lo; i++) markDone(unit, i);
+      else markDone(unit, placement.task);
+      machine.errors.clear();
+      findings.finished.add(unit);
+      break;
+    case "error":
+      blame(machine, unit, context);
+      break;
+    case "no_room":
+      machine.avoidUntil = Math.max(machine.avoidUntil, context.now + context.coolMs);
+      break;
+    case "busy":
+    case "no_such":
+      unit.failures++;
+      unit.notBefore = context.now + Math.min(context.leaseMs * 3, context.coolMs * 2 ** Math.min(unit.failures, 6));
+      break;
+    default:
+      break;
+  }
+  gone(machine, key, placement, context.now, findings);
+}
+
+function adopt(machine: Machine, task: ReportedTask, context: ReportContext): Placement {
+  const { ref, task: number } = splitPiece(task.piece);
+  const found = context.unitOf(ref, number);
+  const placement: Placement = {
+    unit: found?.unit ?? context.strangerOf(ref),
+    task: found?.task ?? number,
+    attempt: task.attempt,
+    host: machine.host,
+    orderedAt: context.now,
+    state: task.state,
+    runningAt: null,
+    direct: "answered",
+    stop: null,
+    offeredSeq: -1,
+  };
+  const mates = found === null ? undefined : [...found.unit.placed.values()];
+  const welcome =
+    found !== null &&
+    !found.unit.ended &&
+    !found.unit.leaving &&
+    !found.unit.done.has(found.task) &&
+    !found.unit.placed.has(found.task) &&
+    (found.unit.spec.kind !== "gang" || mates!.every((mate) => mate.attempt === task.attempt));
+  if (welcome) place(found.unit, placement);
+  else placement.stop = { graceS: 0 };
+  return placement;
+}
+
+function isNewer(machine: Machine, report: Report): boolean {
+  return report.session > machine.session || (report.session === machine.session && report.seq > machine.seq);
+}
+
+/**
+ * Brings a machine up to a report. Reports may come late and out of order; an
+ * older one changes nothing. Returns false for those.
+ */
+export function takeReport(part: Part, machine: Machine, report: Report, context: ReportContext, findings: Findings): boolean {
+  if (!isNewer(machine, report)) return false;
+  if (report.session > machine.session) {
+    // The worker killed and forgot everything when its lease ran out; whatever
+    // was still on its way to it belongs to the former session and has no effect.
+    if (machine.session > 0) dropAll(machine, context.now, findings);
+    machine.held.clear();
+    machine.session = report.session;
+    findings.changed = true;
+  }
+  machine.seq = report.seq;
+  machine.token = report.token;
+  machine.addr = report.addr;
+  if (machine.heardAt === -Infinity || machine.lost) findings.changed = true;
+  machine.heardAt = context.now;
+  machine.lost = false;
+  if (report.token >= part.term && !machine.fenced) {
+    machine.fenced = true;
+    findings.changed = true;
+  }
+  if (report.noticeS !== null && machine.noticeAt === null) {
+    machine.noticeAt = context.now + report.noticeS * 1000;
+    findings.changed = true;
+  }
+  const listed = new Set<string>();
+  for (const task of report.tasks) {
+    const key = attemptKey(task.piece, task.attempt);
+    listed.add(key);
+    let placement = machine.placements.get(key);
+    if (task.state === "exited") {
+      if (machine.exited.has(key)) continue;
+      machine.exited.set(key, task);
+      if (placement === undefined) {
+        if (task.cause !== "done") continue;
+        // Finished under a former leader who did not live to record it.
+        const { ref, task: number } = splitPiece(task.piece);
+        const found = context.unitOf(ref, number);
+        if (found !== null && !found.unit.done.has(found.task)) {
+          if (found.unit.spec.kind === "gang") for (let i = 0; i < found.unit.hi - found.unit.lo; i++) markDone(found.unit, i);
+          else markDone(found.unit, found.task);
+          findings.finished.add(found.unit);
+        }
+        continue;
+      }
+      exits(machine, key, placement, task, context, findings);
+      continue;
+    }
+    if (placement === undefined) {
+      placement = adopt(machine, task, context);
+      machine.placements.set(key, placement);
+      findings.changed = true;
+    }
+    if (task.state !== "fetching") machine.images.add(placement.unit.spec.image);
+    if (task.state === "running" && placement.state !== "running") placement.runningAt = context.now;
+    placement.state = task.state;
+  }
+  for (const key of [...machine.exited.keys()]) if (!listed.has(key)) machine.exited.delete(key);
+  for (const [key, placement] of [...machine.placements]) {
+    if (listed.has(key)) continue;
+    if (placement.state !== null) {
+      // It was there and is no longer listed, within one session: only `clear` does that.
+      gone(machine, key, placement, context.now, findings);
+      continue;
+    }
+    // An order in an answer is executed before the next report or never; a direct
+    // one without an answer may still come, so its attempt stays counted.
+    const settled = placement.direct === "none" && context.viaReport && report.seq > placement.offeredSeq;
+    if (settled && (placement.stop !== null || placement.unit.ended)) gone(machine, key, placement, context.now, findings);
+  }
+  return true;
+}
+
+/** Orders for one machine, most urgent first, at most `max`. */
+export function ordersFor(
+  machine: Machine,
+  channel: "report" | "direct",
+  clearable: (task: ReportedTask) => boolean,
+  max: number,
+): Order[] {
+  const orders: Order[] = [];
+  for (const placement of machine.placements.values()) {
+    if (orders.length >= max) return orders;
+    const piece = pieceName(placement.unit, placement.task);
+    if (placement.stop !== null) {
+      if (placement.state !== null && !(placement.state === "saving" && placement.stop.graceS > 0)) {
+        orders.push({ verb: "stop", piece, attempt: placement.attempt, graceS: placement.stop.graceS });
+      }
+    } else if (placement.state === null && !placement.unit.ended) {
+      if (channel === "direct" && placement.direct !== "none") continue;
+      orders.push({ verb: "start", piece, attempt: placement.attempt });
+    }
+  }
+  // Only in answers to reports, which cannot overtake one another: a `clear`
+  // that came before a repeated `start` of the attempt would start it anew.
+  if (channel === "report") {
+    for (const [key, task] of machine.exited) {
+      if (orders.length >= max) break;
+      if (!machine.held.has(key) && clearable(task)) orders.push({ verb: "clear", piece: task.piece, attempt: task.attempt });
+    }
+  }
+  return orders;
+}
--- /dev/null
+++ b/test/intake.test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { decodeJob } from "../src/intake/codec.js";
+
+const good = {
+  ref: "run-000412",
+  lane: "train",
+  desk: "vision",
+  shape: "gang",
+  urgency: "urgent",
+  pieces: 16,
+  cpus: 8,
+  accelerators: 1,
+  ramGb: 64,
+  bundle: "img-07",
+  imageGb: 6.2,
+  builds: ["g8"],
+  yard: null,
+  samePlace: true,
+  spread: false,
+  loaner: true,
+  guessS: 240,
+  snapshotS: 30,
+  flushS: 4,
+  closeS: 900,
+};
+
+test("a good submission is taken, with null and omitted alike", () => {
+  assert.ok("spec" in decodeJob(good));
+  const { yard: _yard, closeS: _closeS, builds: _builds, ...rest } = good;
+  assert.ok("spec" in decodeJob({ ...rest, novel: { any: 1 } }));
+});
+
+test("each missing or invalid field is a fault that names it", () => {
+  const optional = new Set(["yard", "closeS", "builds"]);
+  for (const field of Object.keys(good)) {
+    if (!optional.has(field)) {
+      const { [field as "ref"]: _gone, ...rest } = good;
+      const answer = decodeJob(rest);
+      assert.ok("fault" in answer && answer.fault.startsWith(field), field);
+    }
+    for (const value of [
+      {},
+      [1],
+      true === (good as Record<string, unknown>)[field] ? "yes" : Symbol.iterator.toString() + "\u0000".repeat(300),
+    ]) {
+      if (field === "ref" || field !== "bundle")
+        assert.ok("fault" in decodeJob({ ...good, [field]: value }), `${field} = ${String(value)}`);
+    }
+  }
+  for (const [field, value] of [
+    ["pieces", 0],
+    ["pieces", 100_001],
+    ["pieces", 1.5],
+    ["cpus", -1],
+    ["cpus", Infinity],
+    ["guessS", Number.NaN],
+    ["ref", "run-1"],
+    ["ref", "job-000412"],
+    ["shape", "array"],
+    ["urgency", "high"],
+  ] as const) {
+    assert.ok("fault" in decodeJob({ ...good, [field]: value }), `${field} = ${value}`);
+  }
+  for (const raw of [null, [], "text", 7]) assert.ok("fault" in decodeJob(raw));
+});
