--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -27,5 +27,11 @@
   .map(String)
   .filter((name) => name.endsWith(".test.mjs"))
   .map((name) => `target/test/${name}`);
-const run = spawnSync(process.execPath, ["--enable-source-maps", "--test", "--test-reporter=spec", ...files], { stdio: "inherit" });
+const only = process.argv[2];
+const args = only === undefined ? [] : [`--test-name-pattern=${only}`];
+const run = spawnSync(
+  process.execPath,
+  ["--enable-source-maps", "--test", "--test-timeout=60000", "--test-reporter=spec", ...args, ...files],
+  { stdio: "inherit" },
+);
 process.exit(run.status ?? 1);
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -48,7 +48,9 @@
     const requests = new Rate(clock, state.rps * share);
     const writes = new Rate(clock, state.write_rps * share, Math.max(state.txn_ops, state.write_rps * share));
     const { timing } = settings;
-    this.mirror = new Mirror(around.state, clock, requests, { readGapMs: 3000 / (state.rps * share), blockMs: timing.reportMs });
+    // What a watch proves is as old as its beginning: two in a row must stay well
+    // below the age at which this node counts itself cut off.
+    this.mirror = new Mirror(around.state, clock, requests, { readGapMs: 3000 / (state.rps * share), blockMs: timing.presenceMs / 8 });
     this.committer = new Committer(
       around.state,
       this.mirror,
--- a/src/ledger/mirror.ts
+++ b/src/ledger/mirror.ts
@@ -100,6 +100,9 @@
   fresh(): Promise<void> {
     if (this.queued !== null) return this.queued;
     const run = async (): Promise<void> => {
+      // `queued` must be set before this goes on: were it cleared first, it would
+      // stay, and later callers would take an old read for a fresh one.
+      await Promise.resolve();
       if (this.freshening !== null) await this.freshening.catch(() => undefined);
       const gap = this.lastReadAt + this.pace.readGapMs - this.clock.now();
       if (gap > 0) await sleep(this.clock, gap);
--- a/src/workers/dispatch.ts
+++ b/src/workers/dispatch.ts
@@ -53,6 +53,9 @@
       const reply = await this.workers.command(machine.addr, part.term, session, orders);
       settle(reply.executed ? "answered" : "none");
       again = fencing && !reply.executed && reply.report.session !== session;
+      // Refused: a higher token or another session. Asking again at once would
+      // only repeat that; the next report tells how things stand.
+      if (!reply.executed && !again) machine.directFailedAt = this.scope.clock.now();
       if (fencing && reply.executed && machine.answeredAt > now) machine.answeredAt = this.scope.clock.now();
       this.leader.onCommandReply(part, machine, reply.report);
     } catch (error) {
@@ -68,6 +71,6 @@
         (p.stop !== null &&
           !orders.some((o) => o.verb === "stop" && attemptKey(o.piece, o.attempt) === attemptKey(pieceName(p.unit, p.task), p.attempt))),
     );
-    if (again || more) void this.send(part, machine);
+    if (again || (more && machine.directFailedAt < now)) void this.send(part, machine);
   }
 }
--- /dev/null
+++ b/test/checker.test.ts
@@ -0,0 +1,90 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { JobSpec } from "../src/ledger/records.js";
+import { brokenRules, type Happening, type Limits } from "./world/checker.js";
+
+// The checker must be able to fail: each rule has a history that breaks it and nothing else.
+const limits: Limits = { cancelMs: 43_000, teams: new Map([["ops", { cpus: 10, gpus: 0 }]]) };
+const spec = (over: Partial<JobSpec> = {}): JobSpec => ({
+  ref: "run-000001",
+  klass: "c",
+  team: "ops",
+  kind: "array",
+  urgency: "normal",
+  tasks: 2,
+  cpus: 4,
+  gpus: 0,
+  ram: 1,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  image: "i",
+  imageGb: 1,
+  guessS: 1,
+  checkpointS: 0,
+  flushS: 0,
+  deadlineS: null,
+  ...over,
+});
+const submitted = (over: Partial<JobSpec> = {}): Happening => ({ at: 0, kind: "submitted", spec: spec(over) });
+const on = (at: number, task: number, host: string, over: object = {}): Happening => ({
+  at,
+  kind: "on",
+  piece: `run-000001/${task}`,
+  host,
+  type: "m",
+  zone: "a",
+  spot: false,
+  ...over,
+});
+const off = (at: number, task: number, host: string, cause = "done"): Happening => ({
+  at,
+  kind: "off",
+  piece: `run-000001/${task}`,
+  host,
+  cause,
+});
+const told = (at: number, what: "accepted" | "queued" | "done" | "withdrawn" | "unknown" | "refused" | "running"): Happening => ({
+  at,
+  kind: "told",
+  ref: "run-000001",
+  what,
+});
+const asked: Happening = { at: 1, kind: "asked-cancel", ref: "run-000001" };
+
+const good: Happening[] = [submitted(), told(1, "queued"), on(2, 0, "x"), on(2, 1, "y"), off(9, 0, "x"), off(9, 1, "y"), told(10, "done")];
+const bad: Record<string, Happening[]> = {
+  ran_twice: [submitted(), on(2, 0, "x"), on(3, 0, "y")],
+  quota: [submitted({ tasks: 3 }), on(2, 0, "x"), on(2, 1, "x"), on(2, 2, "x")],
+  wrong_place: [submitted({ zone: "b" }), on(2, 0, "x")],
+  ran_cancelled: [submitted(), asked, on(2, 0, "x"), told(3, "withdrawn"), off(50_000, 0, "x")],
+  forgotten: [submitted(), told(1, "queued"), on(2, 0, "x"), told(3, "unknown")],
+  invented: [told(1, "queued"), on(2, 0, "x")],
+  not_done: [submitted(), on(2, 0, "x"), off(3, 0, "x"), told(4, "done")],
+  went_back: [...good, told(11, "running")],
+  nothing_ran: [submitted(), told(1, "queued")],
+};
+
+test("a good history breaks no rule", () => assert.deepEqual(brokenRules(good, limits), []));
+for (const [rule, history] of Object.entries(bad)) {
+  test(`the checker sees ${rule}`, () => {
+    const broken = brokenRules(history, limits);
+    assert.equal(broken.length, 1, broken.join("; "));
+    assert.ok(broken[0]!.startsWith(rule), broken[0]);
+  });
+}
+test("kinds of machines, spreading and one zone are judged", () => {
+  for (const [over, history] of [
+    [{ types: ["n"] }, [on(2, 0, "x")]],
+    [{ spot: false }, [on(2, 0, "x", { spot: true })]],
+    [{ oneZone: true }, [on(2, 0, "x"), on(2, 1, "y", { zone: "b" })]],
+    [{ spread: true }, [on(2, 0, "x"), on(2, 1, "y")]],
+  ] as [Partial<JobSpec>, Happening[]][]) {
+    assert.match(brokenRules([submitted(over), ...history], limits)[0] ?? "none", /^wrong_place/);
+  }
+});
+test("a start after the time for a cancellation is over is seen", () => {
+  assert.match(brokenRules([submitted(), asked, told(3, "withdrawn"), on(50_000, 0, "x")], limits)[0] ?? "none", /^ran_cancelled/);
+});
--- /dev/null
+++ b/test/mirror.test.ts
@@ -0,0 +1,23 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Mirror } from "../src/ledger/mirror.js";
+import { Rate } from "../src/platform/rate.js";
+import { StateService } from "./world/state-service.js";
+import { VirtualClock } from "./world/virtual-clock.js";
+
+test("a read asked for later is never answered with one that began earlier", async () => {
+  const clock = new VirtualClock();
+  const service = new StateService(clock, () => 5);
+  const client = service.client("n", () => true);
+  const mirror = new Mirror(client, clock, new Rate(clock, 1000), { readGapMs: 0, blockMs: 1000 });
+  void mirror.fresh();
+  await clock.run(100);
+  for (let i = 1; i <= 3; i++) {
+    void client.txn([], [{ write: "t/j/x", v: i }]);
+    await clock.run(i * 100 + 50);
+    let seen: unknown;
+    void mirror.fresh().then(() => (seen = mirror.get("t/j/x")?.v));
+    await clock.run(i * 100 + 99);
+    assert.equal(seen, i);
+  }
+});
--- a/test/world/checker.ts
+++ b/test/world/checker.ts
@@ -30,7 +30,9 @@
     broken.push(`${rule} at ${(at / 1000).toFixed(1)} s: ${detail}`);
   };
   const onOf = (ref: string): { piece: string; host: string; zone: string }[] =>
-    [...on].filter(([piece]) => refOf(piece) === ref).flatMap(([piece, hosts]) => [...hosts].map(([host, { zone }]) => ({ piece, host, zone })));
+    [...on]
+      .filter(([piece]) => refOf(piece) === ref)
+      .flatMap(([piece, hosts]) => [...hosts].map(([host, { zone }]) => ({ piece, host, zone })));
   const checkCancelled = (at: number): void => {
     for (const [ref, since] of withdrawnAt) {
       if (at - since > limits.cancelMs && onOf(ref).length > 0) {
@@ -75,7 +77,8 @@
         const ref = refOf(event.piece);
         const spec = specs.get(ref);
         const hosts = on.get(event.piece) ?? new Map<string, { zone: string }>();
-        if ([...hosts.keys()].some((host) => host !== event.host)) say("ran_twice", event.at, `${event.piece} on ${event.host} and ${[...hosts.keys()].join()}`);
+        if ([...hosts.keys()].some((host) => host !== event.host))
+          say("ran_twice", event.at, `${event.piece} on ${event.host} and ${[...hosts.keys()].join()}`);
         if (spec !== undefined) {
           const others = onOf(ref).filter((o) => o.piece !== event.piece);
           const inZone = others.filter((o) => o.zone === event.zone).length + 1;
--- a/test/world/cloud-service.ts
+++ b/test/world/cloud-service.ts
@@ -31,7 +31,9 @@
     const before = this.answers.get(name);
     if (before !== undefined) return before;
     const key = `${offer.type}/${offer.zone}/${offer.spot ? "spot" : "ordinary"}`;
-    const used = [...this.machines.values()].filter((m) => m.goneAt === null && `${m.offer.type}/${m.offer.zone}/${m.offer.spot ? "spot" : "ordinary"}` === key).length;
+    const used = [...this.machines.values()].filter(
+      (m) => m.goneAt === null && `${m.offer.type}/${m.offer.zone}/${m.offer.spot ? "spot" : "ordinary"}` === key,
+    ).length;
     const free = Math.min(count, (this.capacity.get(key) ?? 0) - used);
     if (free <= 0) return null;
     const type = this.types.find((t) => t.name === offer.type)!;
--- /dev/null
+++ b/test/world/scenario.ts
@@ -0,0 +1,277 @@
+import type { JobKind, JobSpec, Urgency } from "../../src/ledger/records.js";
+import { World, type Plan } from "./world.js";
+
+/**
+ * Scenario files: one sentence a line. `given` lines describe the place, `at N`
+ * lines say what happens N seconds in, `expect` among them what must hold then.
+ */
+interface Step {
+  at: number;
+  words: string[];
+  line: string;
+}
+
+const SHAPES: Record<string, [string, JobKind]> = { array: ["sweep", "array"], gang: ["gang", "gang"], service: ["daemon", "service"] };
+
+function options(words: string[]): Map<string, string> {
+  const found = new Map<string, string>();
+  for (let i = 0; i < words.length; i += 2) found.set(words[i]!, words[i + 1] ?? "");
+  return found;
+}
+
+function parse(text: string): { plan: Plan; steps: Step[] } {
+  const plan: Plan = { seed: 1, teams: [], types: [], capacity: new Map() };
+  const steps: Step[] = [];
+  for (const raw of text.split("\n")) {
+    const line = raw.replace(/#.*$/, "").trim();
+    if (line === "") continue;
+    const words = line.split(/\s+/);
+    if (words[0] === "seed") plan.seed = Number(words[1]);
+    else if (words[0] === "given" && words[1] === "team") {
+      const o = options(words.slice(3));
+      plan.teams.push({
+        name: words[2]!,
+        cpus: Number(o.get("cpus") ?? 0),
+        cpus_max: Number(o.get("most-cpus") ?? 0),
+        gpus: Number(o.get("gpus") ?? 0),
+        gpus_max: Number(o.get("most-gpus") ?? 0),
+      });
+    } else if (words[0] === "given" && words[1] === "type") {
+      const o = options(words.slice(3));
+      const zones = (o.get("zones") ?? "a").split(",");
+      plan.types.push({
+        name: words[2]!,
+        cpus: Number(o.get("cpus")),
+        gpus: Number(o.get("gpus") ?? 0),
+        ram: Number(o.get("ram") ?? 100),
+        cacheGb: 100,
+        fetchGbPerS: 1,
+        price: 1,
+        spotPrice: 0.3,
+        bootS: Number(o.get("boot") ?? 5),
+        zones,
+      });
+      for (const zone of zones) {
+        plan.capacity.set(`${words[2]}/${zone}/ordinary`, Number(o.get("count") ?? 10));
+        plan.capacity.set(`${words[2]}/${zone}/spot`, Number(o.get("spot") ?? 0));
+      }
+    } else if (words[0] === "at") steps.push({ at: Number(words[1]) * 1000, words: words.slice(2), line });
+    else throw new Error(`not a scenario line: ${line}`);
+  }
+  return { plan, steps: steps.sort((a, b) => a.at - b.at) };
+}
+
+function submission(words: string[], world: World): { wire: Record<string, unknown>; spec: JobSpec; node: string | undefined } {
+  // submit REF SHAPE of N team T cpus C ... for SECONDS
+  const [ref, shape] = words as [string, string];
+  const flags = new Set(["one-zone", "spread", "spot"].filter((f) => words.includes(f)));
+  const o = options(words.slice(2).filter((w) => !flags.has(w)));
+  const [wireShape, kind] = SHAPES[shape]!;
+  const runS = Number(o.get("for") ?? 10);
+  world.runs.set(ref, runS * 1000);
+  const spec: JobSpec = {
+    ref,
+    klass: o.get("class") ?? "c",
+    team: o.get("team") ?? "ops",
+    kind,
+    urgency: (o.get("urgency") ?? "normal") as Urgency,
+    tasks: Number(o.get("of") ?? 1),
+    cpus: Number(o.get("cpus") ?? 4),
+    gpus: Number(o.get("gpus") ?? 0),
+    ram: Number(o.get("ram") ?? 4),
+    types: o.has("type") ? [o.get("type")!] : null,
+    zone: o.get("zone") ?? null,
+    oneZone: flags.has("one-zone"),
+    spread: flags.has("spread"),
+    spot: flags.has("spot"),
+    image: o.get("image") ?? "img",
+    imageGb: 1,
+    guessS: Number(o.get("guess") ?? runS),
+    checkpointS: Number(o.get("saves") ?? 0),
+    flushS: 1,
+    deadlineS: null,
+  };
+  const wire = {
+    ref,
+    lane: spec.klass,
+    desk: spec.team,
+    shape: wireShape,
+    urgency: spec.urgency,
+    pieces: spec.tasks,
+    cpus: spec.cpus,
+    accelerators: spec.gpus,
+    ramGb: spec.ram,
+    bundle: spec.image,
+    imageGb: 1,
+    builds: spec.types,
+    yard: spec.zone,
+    samePlace: spec.oneZone,
+    spread: spec.spread,
+    loaner: spec.spot,
+    guessS: spec.guessS,
+    snapshotS: spec.checkpointS,
+    flushS: 1,
+    closeS: null,
+  };
+  return { wire, spec, node: o.get("at-node") };
+}
+
+export async function playScenario(text: string): Promise<{ world: World; failures: string[] }> {
+  const { plan, steps } = parse(text);
+  const world = new World(plan);
+  const failures: string[] = [];
+  for (const name of world.nodes.keys()) world.startNode(name);
+  for (const step of steps) {
+    await world.clock.run(step.at);
+    await act(world, step, failures);
+  }
+  await world.clock.run((steps.at(-1)?.at ?? 0) + 100);
+  for (const name of world.nodes.keys()) world.killNode(name);
+  return { world, failures };
+}
+
+/** Hosts running a task of the job, or all hosts. */
+function hostsOf(world: World, word: string): string[] {
+  const all = [...world.workers.values()];
+  const chosen =
+    word === "all" ? all : all.filter((w) => [...w.tasks.values()].some((t) => t.piece.startsWith(`${word}/`) && t.state !== "exited"));
+  return chosen.map((w) => w.host).sort();
+}
+
+async function act(world: World, step: Step, failures: string[]): Promise<void> {
+  const [verb, a, b, c] = step.words as [string, string, string, string];
+  const settle = async (work: Promise<unknown>, ms: number): Promise<void> => {
+    let over = false;
+    void work.then(() => (over = true));
+    for (let t = 0; t < ms && !over; t += 50) await world.clock.run(world.clock.now() + 50);
+  };
+  const leaderOf = (ref: string): string => {
+    for (const node of world.nodes.values()) {
+      for (const part of node.controller?.leader.parts.values() ?? []) if (part.byRef.has(ref)) return node.name;
+    }
+    throw new Error(`${step.line}: nobody leads ${ref}`);
+  };
+  const nodeNamed = (word: string): string => (word.startsWith("leader-of:") ? leaderOf(word.slice("leader-of:".length)) : word);
+  switch (verb) {
+    case "submit": {
+      const { wire, spec, node } = submission(step.words.slice(1), world);
+      void world.submit(wire, spec, node === undefined ? undefined : nodeNamed(node));
+      return;
+    }
+    case "cancel":
+      void world.cancel(a, b === "at" ? nodeNamed(c) : undefined);
+      return;
+    case "poll":
+      void world.poll(a, b === "at" ? nodeNamed(c) : undefined);
+      return;
+    case "kill":
+      if (a === "all") for (const name of world.nodes.keys()) world.killNode(name);
+      else world.killNode(nodeNamed(a));
+      return;
+    case "start":
+      if (a === "all") for (const name of world.nodes.keys()) world.startNode(name);
+      else world.startNode(a);
+      return;
+    case "cut": {
+      // cut X from Y for N: packets are held and delivered when it ends.
+      const node = nodeNamed(a);
+      const forMs = Number(step.words[step.words.indexOf("for") + 1]) * 1000;
+      const from = c;
+      if (from === "state") {
+        world.state.weatherOf(node).cut = true;
+        world.clock.after(forMs, () => world.state.endCut(node));
+        return;
+      }
+      const sides = a.startsWith("hosts-of:") ? hostsOf(world, a.slice("hosts-of:".length)) : [node];
+      for (const side of sides) {
+        const other = from === "all" ? "*" : nodeNamed(from);
+        world.cut(side, other);
+        world.clock.after(forMs, () => world.mend(side, other));
+      }
+      return;
+    }
+    case "refuse": {
+      const node = nodeNamed(a);
+      world.state.weatherOf(node).refused = true;
+      world.clock.after(Number(c) * 1000, () => (world.state.weatherOf(node).refused = false));
+      return;
+    }
+    case "outage":
+      if (a === "state") {
+        world.state.outage = true;
+        world.clock.after(Number(c) * 1000, () => world.state.endOutage());
+      } else {
+        world.cloud.outage = true;
+        world.clock.after(Number(c) * 1000, () => (world.cloud.outage = false));
+      }
+      return;
+    case "lose-replies":
+      world.state.weatherOf(nodeNamed(a)).loseReplies = Number(b);
+      return;
+    case "late-transactions":
+      world.state.weatherOf(nodeNamed(a)).late = { count: Number(b), ms: Number(step.words[4]) * 1000 };
+      return;
+    case "late-hires":
+      world.cloud.lateHires = { count: Number(a), ms: Number(c) * 1000 };
+      return;
+    case "take":
+      for (const host of hostsOf(world, a).slice(0, Number(b ?? 1))) world.cloud.remove(host);
+      return;
+    case "hang":
+      for (const host of hostsOf(world, a).slice(0, 1)) {
+        const worker = world.workers.get(host)!;
+        worker.hanging = true;
+        world.clock.after(Number(c) * 1000, () => (worker.hanging = false));
+      }
+      return;
+    case "notice":
+      for (const host of hostsOf(world, a)) world.workers.get(host)!.notice = Number(b);
+      return;
+    case "sicken":
+      for (const host of hostsOf(world, a).slice(0, 1)) world.sickHosts.add(host);
+      return;
+    case "expect":
+      await expectation(world, step, failures, settle, nodeNamed);
+      return;
+    default:
+      throw new Error(`unknown: ${step.line}`);
+  }
+}
+
+async function expectation(
+  world: World,
+  step: Step,
+  failures: string[],
+  settle: (work: Promise<unknown>, ms: number) => Promise<void>,
+  nodeNamed: (word: string) => string,
+): Promise<void> {
+  const [, subject, what, c, d] = step.words as [string, string, string, string, string];
+  const check = (ok: boolean, saw: unknown): void => {
+    if (!ok) failures.push(`${step.line}: saw ${String(saw)}`);
+  };
+  if (subject === "machines") {
+    const n = [...world.cloud.machines.values()].filter((m) => m.goneAt === null).length;
+    return check(what === "at-most" ? n <= Number(c) : n === Number(what), n);
+  }
+  if (subject === "parts") {
+    const counts = [...world.nodes.values()].map((n) => n.controller?.leader.parts.size ?? 0);
+    return check(what === "balanced" ? counts.every((n) => n === 1) : counts.reduce((x, y) => x + y, 0) === Number(what), counts.join());
+  }
+  if (what === "runs") {
+    const n = [...world.workers.values()]
+      .flatMap((w) => [...w.tasks.values()])
+      .filter((t) => t.ref === subject && t.state !== "exited" && t.hadImage).length;
+    return check(n === Number(c), n);
+  }
+  if (what === "started") {
+    const n = world.history.filter((h) => h.kind === "on" && h.piece.startsWith(`${subject}/`)).length;
+    return check(n === Number(c), n);
+  }
+  let saw = "nothing";
+  const node = c === "at" ? nodeNamed(d) : undefined;
+  await settle(
+    world.poll(subject, node).then((s) => (saw = s)),
+    5000,
+  );
+  check(saw === what, saw);
+}
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -1,5 +1,13 @@
 import { NoReply } from "../../src/platform/http.js";
-import { LostPermit, type Condition, type FollowResult, type Op, type StateApi, type StateEvent, type TxnResult } from "../../src/ledger/state-client.js";
+import {
+  LostPermit,
+  type Condition,
+  type FollowResult,
+  type Op,
+  type StateApi,
+  type StateEvent,
+  type TxnResult,
+} from "../../src/ledger/state-client.js";
 import type { VirtualClock } from "./virtual-clock.js";
 
 interface Watch {
@@ -52,7 +60,8 @@
 
   weatherOf(node: string): Weather {
     let weather = this.weather.get(node);
-    if (weather === undefined) this.weather.set(node, (weather = { refused: false, cut: false, loseReplies: 0, late: { count: 0, ms: 0 } }));
+    if (weather === undefined)
+      this.weather.set(node, (weather = { refused: false, cut: false, loseReplies: 0, late: { count: 0, ms: 0 } }));
     return weather;
   }
 
@@ -159,8 +168,14 @@
       },
       range: (prefix, from, limit) =>
         call(() => {
-          const all = [...this.data].filter(([k]) => k.startsWith(prefix) && (from === undefined || k > from)).sort(([a], [b]) => (a < b ? -1 : 1));
-          return { rows: all.slice(0, limit).map(([k, e]) => ({ k, v: e.v, stamp: e.stamp })), more: all.length > limit, ledger: this.ledger };
+          const all = [...this.data]
+            .filter(([k]) => k.startsWith(prefix) && (from === undefined || k > from))
+            .sort(([a], [b]) => (a < b ? -1 : 1));
+          return {
+            rows: all.slice(0, limit).map(([k, e]) => ({ k, v: e.v, stamp: e.stamp })),
+            more: all.length > limit,
+            ledger: this.ledger,
+          };
         }),
       grant: (ttlMs) =>
         call(() => {
--- a/test/world/virtual-clock.ts
+++ b/test/world/virtual-clock.ts
@@ -50,7 +50,7 @@
     const last = heap.pop();
     if (top === undefined || last === undefined || heap.length === 0) return top;
     heap[0] = last;
-    for (let i = 0; ; ) {
+    for (let i = 0; ;) {
       let least = i;
       for (const child of [2 * i + 1, 2 * i + 2]) if (child < heap.length && this.less(heap[child]!, heap[least]!)) least = child;
       if (least === i) return top;
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -98,7 +98,11 @@
         new Promise<null>((resolve) => clock.after(ANSWER_LIMIT, () => resolve(null))),
       ]);
       if (this.dead) return;
-      if (answer === null || answer.kind === "silent" || (answer.kind === "elsewhere" && (answer.boss === null || !this.world.nodes.includes(answer.boss)))) {
+      if (
+        answer === null ||
+        answer.kind === "silent" ||
+        (answer.kind === "elsewhere" && (answer.boss === null || !this.world.nodes.includes(answer.boss)))
+      ) {
         await new Promise<void>((resolve) => clock.after(1000, resolve));
         this.node = (this.node + 1) % this.world.nodes.length;
         this.changed = true;
@@ -151,7 +155,16 @@
   private begin(piece: string, attempt: number): void {
     const ref = piece.slice(0, piece.lastIndexOf("/"));
     const spec = this.world.spec(ref);
-    const task: WorkerTask = { piece, attempt, ref, state: "fetching", cause: null, saved: false, since: this.world.clock.now(), hadImage: false };
+    const task: WorkerTask = {
+      piece,
+      attempt,
+      ref,
+      state: "fetching",
+      cause: null,
+      saved: false,
+      since: this.world.clock.now(),
+      hadImage: false,
+    };
     this.tasks.set(`${piece}#${attempt}`, task);
     this.changed = true;
     if (spec === undefined) return this.exit(task, "no_such");
@@ -164,7 +177,8 @@
       used.gpus += s.gpus;
       used.ram += s.ram;
     }
-    if (used.cpus > this.room.cpus + 1e-6 || used.gpus > this.room.gpus + 1e-6 || used.ram > this.room.ram + 1e-6) this.exit(task, "no_room");
+    if (used.cpus > this.room.cpus + 1e-6 || used.gpus > this.room.gpus + 1e-6 || used.ram > this.room.ram + 1e-6)
+      this.exit(task, "no_room");
   }
 
   killAll(cause: string): void {
--- /dev/null
+++ b/test/world/world.ts
@@ -0,0 +1,266 @@
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { Subject } from "rxjs";
+import { Controller } from "../../src/controller.js";
+import type { MachineType } from "../../src/fleet/cloud-client.js";
+import type { JobSpec } from "../../src/ledger/records.js";
+import type { PeerApi } from "../../src/peers/links.js";
+import type { Message } from "../../src/peers/messages.js";
+import { NoReply } from "../../src/platform/http.js";
+import type { Log } from "../../src/platform/log.js";
+import { Scope } from "../../src/platform/scope.js";
+import { derive } from "../../src/settings/derived.js";
+import { checkOperators } from "../../src/settings/operators.js";
+import type { PlatformSettings, TeamSettings } from "../../src/settings/platform-file.js";
+import type { ReportAnswer } from "../../src/parts/leader.js";
+import type { CommandReply } from "../../src/workers/worker-client.js";
+import type { Happening, Limits } from "./checker.js";
+import { CloudService } from "./cloud-service.js";
+import { StateService } from "./state-service.js";
+import { VirtualClock } from "./virtual-clock.js";
+import { Worker, type WorkerWorld } from "./worker.js";
+
+export interface Plan {
+  seed: number;
+  teams: TeamSettings[];
+  types: MachineType[];
+  capacity: Map<string, number>;
+}
+
+interface Node {
+  name: string;
+  controller: Controller | null;
+  scope: Scope | null;
+  incoming$: Subject<{ from: string; message: Message }>;
+}
+
+const quiet: Log = {
+  error: () => undefined,
+  warn: () => undefined,
+  info: () => undefined,
+  debug: () => undefined,
+  isLevelEnabled: () => false,
+};
+
+/** Everything around three controllers, in virtual time, with seeded luck. */
+export class World {
+  readonly clock = new VirtualClock();
+  readonly history: Happening[] = [];
+  readonly state: StateService;
+  readonly cloud: CloudService;
+  readonly nodes = new Map<string, Node>();
+  readonly workers = new Map<string, Worker>();
+  readonly specs = new Map<string, JobSpec>();
+  readonly runs = new Map<string, number>();
+  readonly sickHosts = new Set<string>();
+  readonly errors: string[] = [];
+  /** Pairs that cannot reach each other, as `a|b`; what is sent is held. */
+  private readonly cuts = new Set<string>();
+  private held: { cut: string; run: () => void }[] = [];
+  private readonly luck;
+  private lives = 0;
+  fetchMs = 1000;
+
+  constructor(readonly plan: Plan) {
+    this.luck = xoroshiro128plus(plan.seed);
+    this.state = new StateService(this.clock, () => 2 + this.random() * 6);
+    this.cloud = new CloudService(this.clock, plan.types, plan.capacity, 3000);
+    this.cloud.onBoot = (host, offer) => this.boot(host, offer);
+    this.cloud.onGone = (host) => {
+      const worker = this.workers.get(host);
+      if (worker === undefined) return;
+      worker.dead = true;
+      worker.killAll("gone");
+      this.workers.delete(host);
+    };
+    for (const name of ["nest-0", "nest-1", "nest-2"])
+      this.nodes.set(name, { name, controller: null, scope: null, incoming$: new Subject() });
+  }
+
+  random(): number {
+    return uniformInt(this.luck, 0, 1_000_000) / 1_000_001;
+  }
+
+  limits(): Limits {
+    return { cancelMs: 43_000, teams: new Map(this.plan.teams.map((t) => [t.name, { cpus: t.cpus_max, gpus: t.gpus_max }])) };
+  }
+
+  private settingsOf(name: string): PlatformSettings {
+    return {
+      host_name: name,
+      area: "a",
+      front: "127.0.0.1:1",
+      peer_listen: "127.0.0.1:1",
+      known: [...this.nodes.keys()].filter((n) => n !== name).map((n) => ({ host_name: n, area: "a", peer_addr: "127.0.0.1:1" })),
+      endpoints: { cloud: "127.0.0.1:1", state: "127.0.0.1:1" },
+      deployment: {
+        size: this.nodes.size,
+        zones: ["a", "b"],
+        clock_off_ms: 1000,
+        teams: this.plan.teams,
+        objectives: [],
+        workers: { report_s: 2.5, lease_s: 18, gang_wait_s: 35, gang_peer_s: 4, cancel_s: 43 },
+        state: { rps: 100, write_rps: 25, value_kb: 32, txn_ops: 16 },
+        cloud: { rps: 5, list_lag_s: 3 },
+        quota: { core_share: 0.3, mem_mb: 178, sockets: 1500 },
+      },
+    };
+  }
+
+  startNode(name: string): void {
+    const node = this.nodes.get(name)!;
+    if (node.controller !== null) return;
+    const log: Log = { ...quiet, error: (entry: unknown) => this.errors.push(JSON.stringify(entry)) } as Log;
+    const scope = new Scope(this.clock, log);
+    const alive = (): boolean => !scope.closed;
+    const peers: PeerApi = {
+      incoming$: node.incoming$,
+      send: (to, message) => {
+        this.carry(name, to, () => this.nodes.get(to)?.incoming$.next({ from: name, message }), false);
+        return true;
+      },
+    };
+    node.scope = scope;
+    node.controller = new Controller(
+      derive(this.settingsOf(name), checkOperators("operators", {})),
+      {
+        state: this.state.client(name, alive),
+        cloud: this.cloud.client(alive),
+        workers: {
+          command: (addr, token, session, orders) => this.command(name, addr, (worker) => worker.command(token, session, orders), alive),
+        },
+        peers,
+      },
+      scope,
+      `life-${++this.lives}`,
+    );
+    node.controller.start();
+  }
+
+  killNode(name: string): void {
+    const node = this.nodes.get(name)!;
+    node.scope?.close();
+    node.controller = null;
+    node.scope = null;
+    node.incoming$ = new Subject();
+  }
+
+  cut(a: string, b: string): void {
+    this.cuts.add(`${a}|${b}`);
+  }
+
+  mend(a: string, b: string): void {
+    const cut = `${a}|${b}`;
+    this.cuts.delete(cut);
+    const due = this.held.filter((h) => h.cut === cut);
+    this.held = this.held.filter((h) => h.cut !== cut);
+    for (const { run } of due) run();
+  }
+
+  private cutBetween(a: string, b: string): string | null {
+    for (const cut of [`${a}|${b}`, `${b}|${a}`, `${a}|*`, `${b}|*`, `${a}|workers`, `${b}|workers`]) {
+      if (!this.cuts.has(cut)) continue;
+      if (cut.endsWith("|workers") && !(this.nodes.has(a) !== this.nodes.has(b))) continue;
+      return cut;
+    }
+    return null;
+  }
+
+  /** Packets arrive in order after a cut ends, even if the sender has given up. */
+  private carry(from: string, to: string, run: () => void, hold = true): void {
+    this.clock.after(0.5 + this.random() * 2, () => {
+      const cut = this.cutBetween(from, to);
+      if (cut === null) run();
+      else if (hold) this.held.push({ cut, run: () => this.clock.after(1, run) });
+    });
+  }
+
+  private command(node: string, host: string, act: (worker: Worker) => CommandReply, alive: () => boolean): Promise<CommandReply> {
+    return new Promise((resolve, reject) => {
+      this.clock.after(2000, () => reject(new NoReply("unanswered", "timeout")));
+      this.carry(node, host, () => {
+        const worker = this.workers.get(host);
+        if (worker === undefined || worker.hanging) return;
+        const reply = act(worker);
+        this.carry(host, node, () => {
+          if (alive()) resolve(reply);
+        });
+      });
+    });
+  }
+
+  private boot(host: string, offer: { type: string; zone: string; spot: boolean }): void {
+    const type = this.plan.types.find((t) => t.name === offer.type)!;
+    const around: WorkerWorld = {
+      clock: this.clock,
+      reportMs: 2500,
+      leaseMs: 18_000,
+      gangPeerMs: 4000,
+      luck: () => this.random(),
+      nodes: [...this.nodes.keys()],
+      report: (node, from, report) =>
+        new Promise<ReportAnswer | null>((resolve) => {
+          this.carry(from, node, () => {
+            const target = this.nodes.get(node)?.controller;
+            if (target === null || target === undefined) return resolve(null);
+            const answer = target.leader.onReport(report);
+            this.carry(node, from, () => resolve(answer));
+          });
+        }),
+      spec: (ref) => this.specs.get(ref),
+      runMs: (ref) => this.runs.get(ref) ?? 10_000,
+      fetchMs: () => this.fetchMs,
+      sick: (name) => this.sickHosts.has(name),
+      on: (worker, piece) => this.history.push({ at: this.clock.now(), kind: "on", piece, host: worker.host, ...worker.offer }),
+      off: (worker, piece, cause) => this.history.push({ at: this.clock.now(), kind: "off", piece, host: worker.host, cause }),
+      mates: (ref, attempt) =>
+        [...this.workers.values()].flatMap((worker) =>
+          [...worker.tasks.values()].filter((t) => t.ref === ref && t.attempt === attempt).map((task) => ({ worker, task })),
+        ),
+    };
+    this.workers.set(host, new Worker(host, offer, { cpus: type.cpus, gpus: type.gpus, ram: type.ram }, around));
+  }
+
+  // ---- users
+
+  private target(name?: string): Controller | null {
+    const up = [...this.nodes.values()].filter((n) => n.controller !== null);
+    if (name !== undefined) return this.nodes.get(name)?.controller ?? null;
+    return up.length === 0 ? null : up[Math.floor(this.random() * up.length)]!.controller;
+  }
+
+  private told(ref: string, status: number, body: Record<string, unknown>): void {
+    if (status === 201 || status === 200)
+      this.history.push({ at: this.clock.now(), kind: "told", ref, what: (body["status"] as "done" | undefined) ?? "queued" });
+    else if (status === 404) this.history.push({ at: this.clock.now(), kind: "told", ref, what: "unknown" });
+    else if (status === 400 || status === 422) this.history.push({ at: this.clock.now(), kind: "told", ref, what: "refused" });
+  }
+
+  async submit(wire: Record<string, unknown>, spec: JobSpec, node?: string): Promise<void> {
+    this.specs.set(spec.ref, spec);
+    this.history.push({ at: this.clock.now(), kind: "submitted", spec });
+    for (let i = 0; i < 60; i++) {
+      const answer = await this.target(node)?.jobs.submit(wire);
+      if (answer !== undefined) this.told(spec.ref, answer.status, answer.body);
+      if (answer !== undefined && answer.status < 500 && answer.status !== 429) return;
+      await new Promise<void>((resolve) => this.clock.after(1000, resolve));
+    }
+  }
+
+  async poll(ref: string, node?: string): Promise<string> {
+    const answer = await this.target(node)?.jobs.poll(ref);
+    if (answer === undefined) return "down";
+    this.told(ref, answer.status, answer.body);
+    return answer.status === 200 ? String(answer.body["status"]) : String(answer.status);
+  }
+
+  async cancel(ref: string, node?: string): Promise<void> {
+    this.history.push({ at: this.clock.now(), kind: "asked-cancel", ref });
+    for (let i = 0; i < 60; i++) {
+      const answer = await this.target(node)?.jobs.cancel(ref);
+      if (answer !== undefined) this.told(ref, answer.status, answer.body);
+      if (answer?.status === 200) return;
+      await new Promise<void>((resolve) => this.clock.after(1000, resolve));
+    }
+  }
+}
