--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -11,7 +11,7 @@
 import type { Settings } from "../settings/derived.js";
 import type { Machine } from "../workers/machine.js";
 import type { CloudApi, Offer } from "./cloud-client.js";
-import { offerName, planHires } from "./plan.js";
+import { offerName, planHires, type HirePlan } from "./plan.js";
 
 const LIST_PAGE = 500;
 const MAX_DELETE = 100;
@@ -109,18 +109,22 @@
         await this.carryOut(part, key.slice(keys.hires.length), entry.v);
       }
       if (open || part.phase !== "serving") continue;
-      const plan = planHires(part, {
-        now: this.scope.clock.now(),
-        silentMs: this.settings.timing.reportMs * 2,
-        order: this.settings.operators.queue.order,
-        types: this.leader.types,
-        open: (offer) => this.open(offer),
-        allotment: (team) => this.allotments.held(part.id, team),
-      });
-      for (const { offer, count } of plan.values()) await this.begin(part, offer, count);
+      const plan = this.plan(part);
+      for (const { offer, count } of plan.wanted.values()) await this.begin(part, offer, count);
     }
   }
 
+  private plan(part: Part): HirePlan {
+    return planHires(part, {
+      now: this.scope.clock.now(),
+      silentMs: this.settings.timing.reportMs * 2,
+      order: this.settings.operators.queue.order,
+      types: this.leader.types,
+      open: (offer) => this.open(offer),
+      allotment: (team) => this.allotments.held(part.id, team),
+    });
+  }
+
   private async begin(part: Part, offer: Offer, count: number): Promise<void> {
     // All that a rental brings is recorded in one transaction with its end.
     const most = Math.min(MAX_HIRE, this.settings.platform.deployment.state.txn_ops - 2);
@@ -190,7 +194,7 @@
 
   // ---- returning
 
-  private wantsReturn(part: Part, machine: Machine): string | null {
+  private wantsReturn(part: Part, machine: Machine, needed: ReadonlySet<string>): string | null {
     const now = this.scope.clock.now();
     const type = this.leader.types.find((t) => t.name === machine.type);
     if (type === undefined || machine.deleting) return null;
@@ -204,6 +208,8 @@
     if (machine.placements.size > 0) return null;
     if (machine.draining) return "faulty";
     if (machine.noticeAt !== null) return "notice";
+    // A gang's machines come up one by one: those that wait for the rest are not idle.
+    if (needed.has(machine.host)) return null;
     if (part.phase === "serving" && now - machine.idleSince > bootMs * idle_per_boot) return "idle";
     return null;
   }
@@ -212,8 +218,9 @@
     if (this.leader.silent()) return;
     for (const part of [...this.leader.parts.values()]) {
       const leaving: Machine[] = [];
+      const { needed } = this.plan(part);
       for (const machine of part.machines.values()) {
-        const reason = this.wantsReturn(part, machine);
+        const reason = this.wantsReturn(part, machine, needed);
         if (reason === null || leaving.length >= MAX_DELETE) continue;
         machine.deleting = true;
         leaving.push(machine);
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -32,8 +32,15 @@
  * room first; the rest opens imagined machines of the offer that is cheapest
  * per task, and later tasks fill those up.
  */
-export function planHires(part: Part, context: PlanContext): Map<string, { offer: Offer; count: number }> {
+export interface HirePlan {
+  wanted: Map<string, { offer: Offer; count: number }>;
+  /** Machines, idle or booting, that waiting work will go to. */
+  needed: Set<string>;
+}
+
+export function planHires(part: Part, context: PlanContext): HirePlan {
   const wanted = new Map<string, { offer: Offer; count: number }>();
+  const needed = new Set<string>();
   const { now } = context;
   const slots = usableSlots(part, now, context.silentMs);
   for (const machine of part.machines.values()) {
@@ -59,7 +66,9 @@
     usage.set(spec.team, { cpus: used.cpus + spec.cpus * left, gpus: used.gpus + spec.gpus * left });
     const none = new Map<string, number>();
     for (let guard = 0; left > 0 && guard < 64; guard++) {
-      left -= placeTasks(spec, left, slots, zonesInUse(part, unit), none, false).length;
+      const chosen = placeTasks(spec, left, slots, zonesInUse(part, unit), none, false);
+      for (const slot of chosen) needed.add(slot.machine.host);
+      left -= chosen.length;
       if (left <= 0) break;
       const best = cheapest(unit, left, context);
       if (best === null) break;
@@ -81,7 +90,7 @@
       wanted.set(name, entry);
     }
   }
-  return wanted;
+  return { wanted, needed };
 }
 
 function cheapest(unit: Unit, left: number, context: PlanContext): { type: MachineType; offer: Offer } | null {
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -157,6 +157,8 @@
                 if (alive()) resolve(result);
               }),
           };
+          const missed = this.since(prefix, from);
+          if (missed.length > 0) return void watch.answer({ ledger: this.ledger, events: missed });
           this.watches.push(watch);
           clock.after(blockMs, () => {
             const at = this.watches.indexOf(watch);
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -110,7 +110,10 @@
   startNode(name: string): void {
     const node = this.nodes.get(name)!;
     if (node.controller !== null) return;
-    const log: Log = { ...quiet, error: (entry: unknown) => this.errors.push(JSON.stringify(entry)) } as Log;
+    const print = (entry: unknown, text?: string): void => {
+      if (process.env["SCENARIO_LOG"] !== undefined) console.log((this.clock.now() / 1000).toFixed(2), name, text, JSON.stringify(entry));
+    };
+    const log: Log = { ...quiet, info: print, debug: print, error: (entry: unknown) => this.errors.push(JSON.stringify(entry)) } as Log;
     const scope = new Scope(this.clock, log);
     const alive = (): boolean => !scope.closed;
     const peers: PeerApi = {
