--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -13,7 +13,7 @@
 import { newMachine, type Machine, type Order, type Report, type ReportedTask } from "../workers/machine.js";
 import { dropAll, newFindings, ordersFor, takeReport, type Findings, type ReportContext } from "../workers/reports.js";
 import type { Allotments } from "./allotments.js";
-import { addUnit, newPart, removeUnit, type Part, type Usage } from "./part.js";
+import { addUnit, newPart, removeUnit, usageByTeam, type Part, type Usage } from "./part.js";
 
 const MAX_ORDERS = 250;
 
@@ -50,6 +50,11 @@
 
   start(): void {
     this.scope.listen(this.mirror.changes$, (key) => this.onChange(key));
+    this.scope.routine(
+      "summary",
+      () => this.settings.operators.exchange.sigma * 1000,
+      () => this.summarize(),
+    );
     this.scope.routine(
       "watchdog",
       () => this.settings.timing.reportMs / 5,
@@ -466,6 +471,29 @@
     this.wake();
   }
 
+  /** One line a part, enough to see from logs alone where work waits and room lies idle. */
+  private summarize(): void {
+    for (const part of this.parts.values()) {
+      const types: Record<string, string> = {};
+      for (const machine of part.machines.values()) {
+        const name = `${machine.type}${machine.spot ? "/spot" : ""}`;
+        const [up, all] = (types[name] ?? "0/0").split("/").slice(-2).map(Number) as [number, number];
+        types[name] = `${up + Number(machine.up && !machine.lost)}/${all + 1}`;
+      }
+      const waiting: Record<string, number> = {};
+      for (const unit of part.units.values())
+        if (unit.waiting.length > 0) waiting[unit.spec.klass] = (waiting[unit.spec.klass] ?? 0) + unit.waiting.length;
+      const used = Object.fromEntries([...usageByTeam(part)].map(([team, u]) => [team, `${Math.round(u.cpus)}c ${Math.round(u.gpus)}g`]));
+      const held = Object.fromEntries(
+        this.settings.platform.deployment.teams.map(({ name }) => {
+          const h = this.allotments.held(part.id, name);
+          return [name, `${Number.isFinite(h.cpus) ? Math.round(h.cpus) : "-"}c ${Number.isFinite(h.gpus) ? Math.round(h.gpus) : "-"}g`];
+        }),
+      );
+      this.scope.log.info({ part: part.id, term: part.term, phase: part.phase, types, waiting, used, held }, "part");
+    }
+  }
+
   // ---- placement
 
   /** Runs a pass soon; many events share one. */
