--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -8,7 +8,8 @@
 import type { Scope } from "../platform/scope.js";
 import { RunHistory } from "../queue/estimate.js";
 import { runPass } from "../queue/pass.js";
-import { newUnit, type Unit } from "../queue/unit.js";
+import { choosePreemptions } from "../queue/preempt.js";
+import { newUnit, type Placement, type Unit } from "../queue/unit.js";
 import type { Settings } from "../settings/derived.js";
 import { newMachine, type Machine, type Order, type Report, type ReportedTask } from "../workers/machine.js";
 import { dropAll, newFindings, ordersFor, takeReport, type Findings, type ReportContext } from "../workers/reports.js";
@@ -16,6 +17,8 @@
 import { addUnit, newPart, removeUnit, usageByTeam, type Part, type Usage } from "./part.js";
 
 const MAX_ORDERS = 250;
+/** Of phi: time for the exchange to find room elsewhere before tasks are stopped. */
+const PREEMPT_AFTER_PHI = 0.2;
 
 export type ReportAnswer =
   { kind: "orders"; token: number; orders: Order[] } | { kind: "elsewhere"; boss: string | null } | { kind: "silent" };
@@ -35,7 +38,7 @@
   private passDue = false;
   private readonly taking = new Set<number>();
   private readonly upPending = new Set<string>();
-  stats = { starts: 0, takeovers: 0, stops: 0, firstPlacementMs: [] as number[] };
+  stats = { starts: 0, takeovers: 0, preemptions: 0, firstPlacementMs: [] as number[] };
 
   constructor(
     readonly settings: Settings,
@@ -419,10 +422,29 @@
   private act(part: Part, findings: Findings): void {
     for (const unit of findings.finished) this.record(part, unit);
     for (const { unit, seconds } of findings.runs) this.history.note(unit.spec, seconds);
+    for (const placement of findings.began) this.began(part, placement);
     for (const unit of findings.broken) this.bringDown(part, unit);
     if (findings.changed) this.wake();
   }
 
+  private began(part: Part, placement: Placement): void {
+    const { spec, submittedWall, moved } = placement.unit;
+    this.stats.starts++;
+    this.scope.log.debug(
+      {
+        part: part.id,
+        job: spec.ref,
+        task: placement.task,
+        class: spec.klass,
+        host: placement.host,
+        waitMs: Math.round(this.scope.clock.wall() - submittedWall),
+        startMs: Math.round(this.now - placement.orderedAt),
+        moved,
+      },
+      "running",
+    );
+  }
+
   /** A gang lost a member: the rest must go before all can start again. */
   private bringDown(part: Part, unit: Unit): void {
     for (const placement of unit.placed.values()) {
@@ -510,13 +532,27 @@
     if (this.silent() || this.types.length === 0) return;
     const { order, backfill } = this.settings.operators.queue;
     for (const part of this.parts.values()) {
-      const result = runPass(part, {
+      const context = {
         now: this.now,
         silentMs: this.settings.timing.reportMs * 2,
         order,
         backfill,
-        allotment: (team) => this.allotments.held(part.id, team),
-      });
+        allotment: (team: string) => this.allotments.held(part.id, team),
+      };
+      const result = runPass(part, context);
+      for (const placement of choosePreemptions(part, {
+        ...context,
+        patienceMs: this.settings.operators.exchange.phi * PREEMPT_AFTER_PHI * 1000,
+      })) {
+        const { spec } = placement.unit;
+        placement.stop = { graceS: spec.checkpointS > 0 ? spec.flushS : 0 };
+        this.stats.preemptions++;
+        this.scope.log.debug(
+          { part: part.id, job: spec.ref, task: placement.task, host: placement.host },
+          "stopped for work of higher priority",
+        );
+        result.touched.add(part.machines.get(placement.host)!);
+      }
       for (const machine of result.touched) this.dispatch$.next({ part, machine });
       for (const [team, want] of result.short) this.short$.next({ part, team, want });
     }
--- /dev/null
+++ b/src/queue/preempt.ts
@@ -0,0 +1,110 @@
+import { tasksWithin, usageByTeam, type Part } from "../parts/part.js";
+import type { Machine } from "../workers/machine.js";
+import { inOrder, rank } from "./order.js";
+import { ready, usableSlots, zonesInUse, type PassContext } from "./pass.js";
+import { allowed, fits, occupy, placeTasks, type Slot } from "./placement.js";
+import type { Placement, Unit } from "./unit.js";
+
+export interface PreemptContext extends PassContext {
+  /** How long a job waits, so that the exchange may find it room elsewhere, before others are stopped for it. */
+  patienceMs: number;
+}
+
+/** Work that stopping a task throws away, in seconds. */
+function lostS(placement: Placement, now: number): number {
+  if (placement.runningAt === null) return 0;
+  const ran = (now - placement.runningAt) / 1000;
+  const { checkpointS, flushS } = placement.unit.spec;
+  return checkpointS > 0 ? Math.min(ran, flushS) : ran;
+}
+
+/**
+ * Tasks on one machine that may be stopped for a job: of strictly lower
+ * priority only, never a gang's (all of it would go). The newest jobs first, as
+ * they are the likeliest to be beyond their team's guarantee, then the least work lost.
+ */
+function candidates(machine: Machine, unit: Unit, now: number): Placement[] {
+  return [...machine.placements.values()]
+    .filter((p) => p.stop === null && p.unit.spec.kind !== "gang" && rank(p.unit.spec.urgency) > rank(unit.spec.urgency))
+    .sort(
+      (a, b) =>
+        rank(b.unit.spec.urgency) - rank(a.unit.spec.urgency) ||
+        b.unit.submittedWall - a.unit.submittedWall ||
+        lostS(a, now) - lostS(b, now),
+    );
+}
+
+function victimsOn(slot: Slot, unit: Unit, taken: ReadonlySet<Placement>, now: number): Placement[] | null {
+  const free = { ...slot.free };
+  const victims: Placement[] = [];
+  for (const placement of candidates(slot.machine, unit, now)) {
+    if (fits(unit.spec, free)) break;
+    if (taken.has(placement)) continue;
+    victims.push(placement);
+    const { cpus, gpus, ram } = placement.unit.spec;
+    free.cpus += cpus;
+    free.gpus += gpus;
+    free.ram += ram;
+  }
+  return fits(unit.spec, free) ? victims : null;
+}
+
+/** Which tasks to stop so that waiting work of higher priority can start. */
+export function choosePreemptions(part: Part, context: PreemptContext): Placement[] {
+  if (part.phase !== "serving") return [];
+  const { now } = context;
+  const waiting = [...part.units.values()].filter((unit) => ready(unit, now) && now - unit.arrivedAt >= context.patienceMs);
+  if (waiting.length === 0) return [];
+  const chosen: Placement[] = [];
+  const taken = new Set<Placement>();
+  const slots = usableSlots(part, now, context.silentMs);
+  // What is stopping already makes room for those it was stopped for.
+  for (const slot of slots) {
+    for (const placement of slot.machine.placements.values()) if (placement.stop !== null) occupy(slot, placement.unit.spec, -1);
+  }
+  const usage = usageByTeam(part);
+  for (const unit of inOrder(waiting, context.order)) {
+    const { spec } = unit;
+    const used = usage.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    const allotment = context.allotment(spec.team);
+    const room = tasksWithin(spec, { cpus: allotment.cpus - used.cpus, gpus: allotment.gpus - used.gpus });
+    const isGang = spec.kind === "gang";
+    const wanted = Math.min(unit.waiting.length, room);
+    if (wanted === 0 || (isGang && wanted < unit.waiting.length)) continue;
+    const placed = placeTasks(spec, wanted, slots, zonesInUse(part, unit), unit.failedOn, false);
+    const missing = wanted - placed.length;
+    const cleared: { slot: Slot; victims: Placement[] }[] = [];
+    // Zones would have to be weighed as well; such jobs wait their turn.
+    for (let i = 0; i < missing && !spec.oneZone && !spec.spread; i++) {
+      let best: { slot: Slot; victims: Placement[]; cost: number } | null = null;
+      for (const slot of slots) {
+        if (!allowed(spec, slot.machine) || unit.failedOn.has(slot.machine.host)) continue;
+        const victims = victimsOn(slot, unit, taken, now);
+        if (victims === null || victims.length === 0) continue;
+        const cost = victims.reduce((sum, p) => sum + 1 + lostS(p, now), 0) + (slot.machine.images.has(spec.image) ? 0 : spec.guessS);
+        if (best === null || cost < best.cost) best = { slot, victims, cost };
+      }
+      if (best === null) break;
+      for (const victim of best.victims) {
+        taken.add(victim);
+        occupy(best.slot, victim.unit.spec, -1);
+      }
+      occupy(best.slot, spec);
+      cleared.push(best);
+    }
+    if (isGang && cleared.length < missing) {
+      for (const { slot, victims } of cleared) {
+        occupy(slot, spec, -1);
+        for (const victim of victims) {
+          taken.delete(victim);
+          occupy(slot, victim.unit.spec);
+        }
+      }
+      for (const slot of placed) occupy(slot, spec, -1);
+      continue;
+    }
+    for (const { victims } of cleared) chosen.push(...victims);
+    usage.set(spec.team, { cpus: used.cpus + spec.cpus * wanted, gpus: used.gpus + spec.gpus * wanted });
+  }
+  return chosen;
+}
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -10,6 +10,8 @@
   finished: Set<Unit>;
   /** Run times of tasks seen from running to done, for the estimator. */
   runs: { unit: Unit; seconds: number; host: string }[];
+  /** Attempts that were first seen running. */
+  began: Placement[];
   /** Gangs that lost a member and must come down before they can start again. */
   broken: Set<Unit>;
 }
@@ -27,7 +29,7 @@
 }
 
 export function newFindings(): Findings {
-  return { changed: false, finished: new Set(), runs: [], broken: new Set() };
+  return { changed: false, finished: new Set(), runs: [], began: [], broken: new Set() };
 }
 
 function splitPiece(piece: string): { ref: string; task: number } {
@@ -183,7 +185,10 @@
       findings.changed = true;
     }
     if (task.state !== "fetching") machine.images.add(placement.unit.spec.image);
-    if (task.state === "running" && placement.state !== "running") placement.runningAt = context.now;
+    if (task.state === "running" && placement.state !== "running") {
+      placement.runningAt = context.now;
+      findings.began.push(placement);
+    }
     placement.state = task.state;
   }
   for (const key of [...machine.exited.keys()]) if (!listed.has(key)) machine.exited.delete(key);
