--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -46,6 +46,7 @@
   zone: string;
   spot: boolean;
   capacity: Capacity;
+  fetchGbPerS: number;
   addr: string | null;
   /** The durable record says so: a later leader knows it must fence it. */
   up: boolean;
@@ -87,6 +88,7 @@
     zone,
     spot,
     capacity,
+    fetchGbPerS: 1,
     addr: null,
     up: false,
     fenced: false,
@@ -138,3 +140,8 @@
     now - machine.heardAt < silentMs
   );
 }
+
+/** Seconds until the machine could have a job's image. */
+export function fetchS(machine: Machine, image: string, imageGb: number): number {
+  return machine.images.has(image) ? 0 : imageGb / machine.fetchGbPerS;
+}
