--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -11,7 +11,7 @@
 import type { Answer, Query, Volunteer, Want } from "../peers/messages.js";
 import { estimateWaits, utilization, type EstimateContext } from "../queue/estimate.js";
 import { newUnit, type Unit } from "../queue/unit.js";
-import { promisedStartS, type Settings } from "../settings/derived.js";
+import type { Settings } from "../settings/derived.js";
 import { best, type Bid } from "./choice.js";
 
 interface Asking {
@@ -78,7 +78,6 @@
       silentMs: this.settings.timing.reportMs * 2,
       order: this.settings.operators.queue.order,
       history: this.leader.history,
-      promisedS: (klass) => promisedStartS(this.settings.platform, klass),
       bootMs: (machine) => (this.leader.types.find((t) => t.name === machine.type)?.bootS ?? 0) * 1000,
     };
   }
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -10,7 +10,7 @@
 import { runPass } from "../queue/pass.js";
 import { choosePreemptions } from "../queue/preempt.js";
 import { newUnit, type Placement, type Unit } from "../queue/unit.js";
-import { promisedStartS, type Settings } from "../settings/derived.js";
+import type { Settings } from "../settings/derived.js";
 import { newMachine, type Machine, type Order, type Report, type ReportedTask } from "../workers/machine.js";
 import { dropAll, newFindings, ordersFor, takeReport, type Findings, type ReportContext } from "../workers/reports.js";
 import type { Allotments } from "./allotments.js";
@@ -152,7 +152,6 @@
       const capacity = type === undefined ? { cpus: 0, gpus: 0, ram: 0 } : { cpus: type.cpus, gpus: type.gpus, ram: type.ram };
       const wallAge = Math.max(0, this.scope.clock.wall() - entry.v.at);
       const fresh = newMachine(host, entry.v.type, entry.v.zone, entry.v.spot, capacity, this.now - wallAge);
-      fresh.fetchGbPerS = type?.fetchGbPerS ?? 1;
       fresh.up = entry.v.up === true;
       fresh.addr = entry.v.addr ?? null;
       fresh.idleSince = this.now;
@@ -178,10 +177,7 @@
     for (const part of this.parts.values()) {
       for (const machine of part.machines.values()) {
         const type = types.find((t) => t.name === machine.type);
-        if (type !== undefined) {
-          machine.capacity = { cpus: type.cpus, gpus: type.gpus, ram: type.ram };
-          machine.fetchGbPerS = type.fetchGbPerS;
-        }
+        if (type !== undefined) machine.capacity = { cpus: type.cpus, gpus: type.gpus, ram: type.ram };
       }
     }
   }
@@ -542,7 +538,6 @@
         order,
         backfill,
         allotment: (team: string) => this.allotments.held(part.id, team),
-        promisedS: (klass: string) => promisedStartS(this.settings.platform, klass),
       };
       const result = runPass(part, context);
       for (const placement of choosePreemptions(part, {
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -1,6 +1,6 @@
 import type { JobSpec } from "../ledger/records.js";
 import type { Part } from "../parts/part.js";
-import { fetchS, freeRoom, usable, type Capacity, type Machine } from "../workers/machine.js";
+import { freeRoom, usable, type Capacity, type Machine } from "../workers/machine.js";
 import { inOrder } from "./order.js";
 import { fits, occupy, placeTasks, type Slot } from "./placement.js";
 import { ready, zonesInUse } from "./pass.js";
@@ -36,7 +36,6 @@
   order: "urgency" | "arrival";
   history: RunHistory;
   bootMs: (machine: Machine) => number;
-  promisedS: (klass: string) => number;
 }
 
 interface Event {
@@ -105,23 +104,13 @@
     left = left.filter((entry) => {
       const { spec } = entry.unit;
       if (!slots.some((slot) => fits(spec, slot.free))) return true;
-      const chosen = placeTasks(
-        spec,
-        entry.tasks,
-        slots,
-        zonesInUse(part, entry.unit),
-        entry.unit.failedOn,
-        spec.kind === "gang",
-        context.promisedS(spec.klass),
-      );
+      const chosen = placeTasks(spec, entry.tasks, slots, zonesInUse(part, entry.unit), entry.unit.failedOn, spec.kind === "gang");
       if (chosen.length === 0) return true;
       entry.tasks -= chosen.length;
-      // A task starts once its machine has the image.
-      const fetchMs = 1000 * Math.max(...chosen.map((slot) => fetchS(slot.machine, spec.image, spec.imageGb)));
       for (const slot of chosen)
         insert(events, { at: at + history.expectS(spec) * 1000, slot, freed: { cpus: spec.cpus, gpus: spec.gpus, ram: spec.ram } });
       if (entry.tasks > 0) return true;
-      waits.set(entry.unit.key, Math.max(0, at - now) + fetchMs);
+      waits.set(entry.unit.key, Math.max(0, at - now));
       return false;
     });
   };
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -11,8 +11,6 @@
   backfill: boolean;
   /** Of each team's limit, what this part holds at present. */
   allotment: (team: string) => Usage;
-  /** Within how many seconds the operators want tasks of a class to start. */
-  promisedS: (klass: string) => number;
 }
 
 export interface PassResult {
@@ -74,7 +72,7 @@
     }
     const isGang = spec.kind === "gang";
     if (within === 0 || (isGang && within < wanted)) continue;
-    const chosen = placeTasks(spec, within, slots, zonesInUse(part, unit), unit.failedOn, isGang, context.promisedS(spec.klass));
+    const chosen = placeTasks(spec, within, slots, zonesInUse(part, unit), unit.failedOn, isGang);
     if (chosen.length < within) {
       hopeless.add(shape);
       if (chosen.length === 0) {
--- a/src/queue/placement.ts
+++ b/src/queue/placement.ts
@@ -1,5 +1,5 @@
 import type { JobSpec } from "../ledger/records.js";
-import { fetchS, type Capacity, type Machine } from "../workers/machine.js";
+import type { Capacity, Machine } from "../workers/machine.js";
 
 /** Room on a machine while a placement pass is being worked out. */
 export interface Slot {
@@ -41,24 +41,15 @@
   );
 }
 
-/** The sum of three shares is at most this. */
-const MOST_LEFTOVER = 3;
-
-/**
- * A machine that holds the image starts at once, which outweighs fullness; so
- * does one that fetches it in the time the job's class is promised to start in.
- */
-function cost(spec: JobSpec, slot: Slot, promisedS: number): number {
-  const wait = fetchS(slot.machine, spec.image, spec.imageGb);
-  const penalty = wait === 0 ? 0 : wait < promisedS ? 1 : 2;
-  return leftover(spec, slot) + penalty * MOST_LEFTOVER;
+/** A machine that holds the image starts at once, which outweighs fullness. */
+function cost(spec: JobSpec, slot: Slot): number {
+  return leftover(spec, slot) + (slot.machine.images.has(spec.image) ? 0 : 3);
 }
 
 export interface PlaceRules {
   zone: string | null;
   zoneRoom: (zone: string) => number;
   avoid: ReadonlyMap<string, number>;
-  promisedS: number;
 }
 
 /** The fullest fitting machine for one task, or null. */
@@ -69,7 +60,7 @@
     if (!fits(spec, slot.free) || !allowed(spec, slot.machine)) continue;
     if (rules.zone !== null && slot.machine.zone !== rules.zone) continue;
     if (rules.zoneRoom(slot.machine.zone) <= 0) continue;
-    const value = cost(spec, slot, rules.promisedS) + 10 * (rules.avoid.get(slot.machine.host) ?? 0);
+    const value = cost(spec, slot) + 10 * (rules.avoid.get(slot.machine.host) ?? 0);
     if (value < bestCost) {
       best = slot;
       bestCost = value;
@@ -95,7 +86,6 @@
   already: ReadonlyMap<string, number>,
   avoid: ReadonlyMap<string, number>,
   allOrNone: boolean,
-  promisedS = Infinity,
 ): Slot[] {
   const limit = zoneLimit(spec);
   const attempt = (zone: string | null): Slot[] => {
@@ -103,7 +93,7 @@
     const inZone = new Map(already);
     const zoneRoom = (name: string): number => (limit === null ? Infinity : limit - (inZone.get(name) ?? 0));
     while (chosen.length < count) {
-      const slot = pick(spec, slots, { zone, zoneRoom, avoid, promisedS });
+      const slot = pick(spec, slots, { zone, zoneRoom, avoid });
       if (slot === null) break;
       occupy(slot, spec);
       inZone.set(slot.machine.zone, (inZone.get(slot.machine.zone) ?? 0) + 1);
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -71,7 +71,7 @@
     const isGang = spec.kind === "gang";
     const wanted = Math.min(unit.waiting.length, room);
     if (wanted === 0 || (isGang && wanted < unit.waiting.length)) continue;
-    const placed = placeTasks(spec, wanted, slots, zonesInUse(part, unit), unit.failedOn, false, context.promisedS(spec.klass));
+    const placed = placeTasks(spec, wanted, slots, zonesInUse(part, unit), unit.failedOn, false);
     const missing = wanted - placed.length;
     const cleared: { slot: Slot; victims: Placement[] }[] = [];
     // Zones would have to be weighed as well; such jobs wait their turn.
--- a/src/settings/derived.ts
+++ b/src/settings/derived.ts
@@ -52,12 +52,3 @@
     },
   };
 }
-
-/** Within how many seconds the objectives want tasks of a class to start. */
-export function promisedStartS(platform: PlatformSettings, klass: string): number {
-  let least = Infinity;
-  for (const aim of platform.deployment.objectives) {
-    if (aim.kind === "wait" && aim.class === klass && aim.within_s !== undefined) least = Math.min(least, aim.within_s);
-  }
-  return least;
-}
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -46,7 +46,6 @@
   zone: string;
   spot: boolean;
   capacity: Capacity;
-  fetchGbPerS: number;
   addr: string | null;
   /** The durable record says so: a later leader knows it must fence it. */
   up: boolean;
@@ -88,7 +87,6 @@
     zone,
     spot,
     capacity,
-    fetchGbPerS: 1,
     addr: null,
     up: false,
     fenced: false,
@@ -140,8 +138,3 @@
     now - machine.heardAt < silentMs
   );
 }
-
-/** Seconds until the machine could have a job's image. */
-export function fetchS(machine: Machine, image: string, imageGb: number): number {
-  return machine.images.has(image) ? 0 : imageGb / machine.fetchGbPerS;
-}
