Relay users' requests through peers that still reach the state service

A node without contact, or whose own answer takes longer than an eighth of the state time limit, asks a peer; all such requests are conditional, so doing them twice is harmless.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -9,6 +9,7 @@
 import type { CloudApi } from "./fleet/cloud-client.js";
 import { Fleet } from "./fleet/fleet.js";
 import { Jobs } from "./intake/jobs.js";
+import { Relay } from "./intake/relay.js";
 import type { PeerApi } from "./peers/links.js";
 import { Rate } from "./platform/rate.js";
 import type { Scope } from "./platform/scope.js";
@@ -34,6 +35,7 @@
   readonly fleet: Fleet;
   readonly exchange: Exchange;
   readonly jobs: Jobs;
+  readonly relay: Relay;
   private peersWithState = new Map<string, number>();
 
   constructor(
@@ -50,7 +52,7 @@
     const { timing } = settings;
     // What a watch proves is as old as its beginning: two in a row must stay well
     // below the age at which this node counts itself cut off.
-    this.mirror = new Mirror(around.state, clock, requests, { readGapMs: 3000 / (state.rps * share), blockMs: timing.presenceMs / 8 });
+    this.mirror = new Mirror(around.state, clock, requests, { readGapMs: 3000 / (state.rps * share), blockMs: timing.contactMs / 4 });
     this.committer = new Committer(
       around.state,
       this.mirror,
@@ -76,6 +78,7 @@
     );
     this.exchange = new Exchange(settings, this.leader, this.ownership, this.allotments, this.mirror, this.committer, around.peers, scope);
     this.jobs = new Jobs(settings, this.leader, this.ownership, this.mirror, this.committer, scope);
+    this.relay = new Relay(settings, this.jobs, around.peers, () => this.peersHavingState(), scope);
   }
 
   start(): void {
@@ -86,12 +89,13 @@
     this.allotments.start();
     this.fleet.start();
     this.exchange.start();
+    this.relay.start();
     this.scope.listen(this.around.peers.incoming$, ({ from, message }) => {
       if ("Health" in message && message.Health.stateOk) this.peersWithState.set(from, this.scope.clock.now());
     });
     this.scope.routine(
       "health",
-      () => this.settings.timing.reportMs / 2,
+      () => this.settings.timing.reportMs / 4,
       () => {
         for (const node of this.settings.nodes) {
           if (node !== this.settings.self) this.around.peers.send(node, { Health: { stateOk: this.hasState() } });
@@ -101,7 +105,12 @@
   }
 
   private hasState(): boolean {
-    return this.mirror.loaded && this.mirror.ageMs() < this.settings.timing.presenceMs / 2;
+    return this.mirror.loaded && this.mirror.ageMs() < this.settings.timing.contactMs;
+  }
+
+  private peersHavingState(): string[] {
+    const now = this.scope.clock.now();
+    return [...this.peersWithState].filter(([, at]) => now - at < this.settings.timing.reportMs).map(([node]) => node);
   }
 
   /**
@@ -113,10 +122,7 @@
     if (!this.mirror.loaded) return "starting";
     if (this.leader.types.length === 0) return "machine types are not known yet";
     if (this.hasState()) return null;
-    const now = this.scope.clock.now();
-    for (const at of this.peersWithState.values()) {
-      if (now - at < this.settings.timing.reportMs) return "the state service refuses this node";
-    }
+    if (this.peersHavingState().length > 0) return "the state service refuses this node";
     return null;
   }
 }
--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -35,7 +35,7 @@
   }
 
   private reachable(): boolean {
-    return this.mirror.loaded && this.mirror.ageMs() < this.settings.timing.presenceMs / 2;
+    return this.mirror.loaded && this.mirror.ageMs() < this.settings.timing.contactMs;
   }
 
   /** Resolves false if it takes longer: the user is told to come back instead. */
--- /dev/null
+++ b/src/intake/relay.ts
@@ -0,0 +1,96 @@
+import type { PeerApi } from "../peers/links.js";
+import type { Scope } from "../platform/scope.js";
+import type { Settings } from "../settings/derived.js";
+import type { Jobs, Response } from "./jobs.js";
+
+export type RequestKind = "submit" | "poll" | "cancel";
+
+interface Waiting {
+  resolve: (answer: Response | null) => void;
+  cancel: () => void;
+}
+
+/** Of the time allowed to the state service: when to ask a peer as well, and for how long. */
+const HEDGE = 1 / 8;
+const PATIENCE = 1 / 2;
+const MAX_WAITING = 500;
+
+/**
+ * Users stay connected to a node that has lost the state service alone, for
+ * seconds until the load balancer notices. Such a node passes their requests to
+ * a peer that has it. Submissions and cancellations may so be carried out twice:
+ * both are conditional, and the answer is the same.
+ */
+export class Relay {
+  private readonly waiting = new Map<number, Waiting>();
+  private count = 0;
+  stats = { asked: 0, answered: 0, served: 0 };
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly jobs: Jobs,
+    private readonly peers: PeerApi,
+    private readonly peersWithState: () => string[],
+    private readonly scope: Scope,
+  ) {}
+
+  start(): void {
+    this.scope.listen(this.peers.incoming$, ({ from, message }) => {
+      if ("Relay" in message) void this.serve(from, message.Relay);
+      else if ("Relayed" in message) {
+        const { id, status, body, retryAfterS } = message.Relayed;
+        const waiting = this.waiting.get(id);
+        if (waiting === undefined) return;
+        this.stats.answered++;
+        this.settle(id, { status, body: JSON.parse(body) as Record<string, unknown>, ...(retryAfterS > 0 ? { retryAfterS } : {}) });
+      }
+    });
+  }
+
+  private settle(id: number, answer: Response | null): void {
+    const waiting = this.waiting.get(id);
+    this.waiting.delete(id);
+    waiting?.cancel();
+    waiting?.resolve(answer);
+  }
+
+  private local(kind: RequestKind, body: unknown): Promise<Response> {
+    if (kind === "submit") return this.jobs.submit(body);
+    return kind === "poll" ? this.jobs.poll(String(body)) : this.jobs.cancel(String(body));
+  }
+
+  private async serve(from: string, ask: { id: number; kind: string; body: string }): Promise<void> {
+    this.stats.served++;
+    const answer = await this.local(ask.kind as RequestKind, JSON.parse(ask.body));
+    this.peers.send(from, {
+      Relayed: { id: ask.id, status: answer.status, body: JSON.stringify(answer.body), retryAfterS: answer.retryAfterS ?? 0 },
+    });
+  }
+
+  private ask(kind: RequestKind, body: unknown): Promise<Response | null> {
+    const peers = this.peersWithState();
+    if (peers.length === 0 || this.waiting.size >= MAX_WAITING) return Promise.resolve(null);
+    const id = ++this.count;
+    this.stats.asked++;
+    return new Promise((resolve) => {
+      const cancel = this.scope.clock.after(this.settings.timing.stateTimeoutMs * PATIENCE, () => this.settle(id, null));
+      this.waiting.set(id, { resolve, cancel });
+      const to = peers[id % peers.length]!;
+      if (!this.peers.send(to, { Relay: { id, kind, body: JSON.stringify(body) } })) this.settle(id, null);
+    });
+  }
+
+  /** Our own answer, or a peer's if ours is late or is that we cannot tell. */
+  async answer(kind: RequestKind, body: unknown): Promise<Response> {
+    const own = this.local(kind, body);
+    const firm = (answer: Response | null): answer is Response => answer !== null && answer.status !== 503;
+    const first = await Promise.race([
+      own,
+      new Promise<null>((resolve) => this.scope.clock.after(this.settings.timing.stateTimeoutMs * HEDGE, () => resolve(null))),
+    ]);
+    if (firm(first)) return first;
+    const other = this.ask(kind, body);
+    const quickest = await Promise.race([own.then((a) => (firm(a) ? a : other)), other.then((a) => (firm(a) ? a : own))]);
+    return firm(quickest) ? quickest : own;
+  }
+}
--- a/src/intake/server.ts
+++ b/src/intake/server.ts
@@ -1,12 +1,13 @@
 import express, { type ErrorRequestHandler, type Express, type Response as HttpResponse } from "express";
 import { decodeReport, encodeOrders } from "../workers/codec.js";
 import type { Leader } from "../parts/leader.js";
-import type { Jobs, Response } from "./jobs.js";
+import type { Response } from "./jobs.js";
+import type { Relay } from "./relay.js";
 
 const MAX_BODY = 64 * 1024;
 
 export interface FrontDoor {
-  jobs: Jobs;
+  relay: Relay;
   leader: Leader;
   /** Null: this node can take requests; otherwise why it cannot. */
   unready: () => string | null;
@@ -35,9 +36,9 @@
     if (answer.kind === "elsewhere") return send(res, { status: 421, body: answer.boss === null ? {} : { boss: answer.boss } });
     send(res, { status: 200, body: { baton: answer.token, orders: encodeOrders(answer.orders) } });
   });
-  app.get("/v2/runs/:ref", async (req, res) => send(res, await door.jobs.poll(req.params.ref)));
-  app.post("/v2/runs", body, async (req, res) => send(res, await door.jobs.submit(req.body)));
-  app.post("/v2/runs/:ref/cancel", async (req, res) => send(res, await door.jobs.cancel(req.params.ref)));
+  app.get("/v2/runs/:ref", async (req, res) => send(res, await door.relay.answer("poll", req.params.ref)));
+  app.post("/v2/runs", body, async (req, res) => send(res, await door.relay.answer("submit", req.body)));
+  app.post("/v2/runs/:ref/cancel", async (req, res) => send(res, await door.relay.answer("cancel", req.params.ref)));
   app.get("/up", (_req, res) => {
     const reason = door.unready();
     send(res, reason === null ? { status: 200, body: { ok: true } } : { status: 503, body: { error: reason }, retryAfterS: 1 });
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -30,8 +30,27 @@
   cpus: number;
   gpus: number;
 }
+/** A user's request passed on, its body as JSON text. */
+export interface RelayAsk {
+  id: number;
+  kind: string;
+  body: string;
+}
+export interface RelayAnswer {
+  id: number;
+  status: number;
+  body: string;
+  retryAfterS: number;
+}
 export type Message =
-  { Hello: Hello } | { Volunteer: Volunteer } | { Query: Query } | { Answer: Answer } | { Want: Want } | { Health: { stateOk: boolean } };
+  | { Hello: Hello }
+  | { Volunteer: Volunteer }
+  | { Query: Query }
+  | { Answer: Answer }
+  | { Want: Want }
+  | { Health: { stateOk: boolean } }
+  | { Relay: RelayAsk }
+  | { Relayed: RelayAnswer };
 
 const record = (name: string, fields: [string, string][]) => ({
   type: "record",
@@ -75,6 +94,17 @@
             ["gpus", "double"],
           ]),
           record("Health", [["stateOk", "boolean"]]),
+          record("Relay", [
+            ["id", "long"],
+            ["kind", "string"],
+            ["body", "string"],
+          ]),
+          record("Relayed", [
+            ["id", "long"],
+            ["status", "int"],
+            ["body", "string"],
+            ["retryAfterS", "int"],
+          ]),
         ],
       },
     ],
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -58,7 +58,6 @@
   for (const unit of inOrder(waiting, context.order)) {
     const { spec } = unit;
     const shape = `${spec.kind === "gang" ? unit.waiting.length : 1}|${spec.cpus}|${spec.gpus}|${spec.ram}|${spec.types?.join() ?? ""}|${spec.zone}|${spec.spot}|${spec.oneZone}`;
-    if (hopeless.has(shape) && unit.failedOn.size === 0) continue;
     const used = usage.get(spec.team) ?? { cpus: 0, gpus: 0 };
     const allotment = context.allotment(spec.team);
     const room = tasksWithin(spec, { cpus: allotment.cpus - used.cpus, gpus: allotment.gpus - used.gpus });
@@ -71,6 +70,9 @@
       result.short.set(spec.team, entry);
     }
     const isGang = spec.kind === "gang";
+    // After what the team lacks has been noted: without a larger allotment no
+    // machines would be rented for this work either.
+    if (hopeless.has(shape) && unit.failedOn.size === 0) continue;
     if (within === 0 || (isGang && within < wanted)) continue;
     const chosen = placeTasks(spec, within, slots, zonesInUse(part, unit), unit.failedOn, isGang);
     if (chosen.length < within) {
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -30,7 +30,7 @@
   );
   const answers = new Map<number, number>();
   const app = buildApp({
-    jobs: controller.jobs,
+    relay: controller.relay,
     leader: controller.leader,
     unready: () => controller.unready(),
     count: (status) => answers.set(status, (answers.get(status) ?? 0) + 1),
--- a/src/settings/derived.ts
+++ b/src/settings/derived.ts
@@ -14,6 +14,8 @@
   expiryMs: number;
   /** A node whose presence was not renewed for this long counts as gone. */
   presenceMs: number;
+  /** A mirror older than this means that the state service is out of reach. */
+  contactMs: number;
   stateTimeoutMs: number;
   workerTimeoutMs: number;
 }
@@ -47,6 +49,7 @@
       silentAfterMs,
       expiryMs,
       presenceMs: leaseMs / 2,
+      contactMs: leaseMs / 8,
       stateTimeoutMs: leaseMs / 9,
       workerTimeoutMs: reportMs * 0.8,
     },
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -243,7 +243,7 @@
     this.specs.set(spec.ref, spec);
     this.history.push({ at: this.clock.now(), kind: "submitted", spec });
     for (let i = 0; i < 60; i++) {
-      const answer = await this.target(node)?.jobs.submit(wire);
+      const answer = await this.target(node)?.relay.answer("submit", wire);
       if (answer !== undefined) this.told(spec.ref, answer.status, answer.body);
       if (answer !== undefined && answer.status < 500 && answer.status !== 429) return;
       await new Promise<void>((resolve) => this.clock.after(1000, resolve));
@@ -251,7 +251,7 @@
   }
 
   async poll(ref: string, node?: string): Promise<string> {
-    const answer = await this.target(node)?.jobs.poll(ref);
+    const answer = await this.target(node)?.relay.answer("poll", ref);
     if (answer === undefined) return "down";
     this.told(ref, answer.status, answer.body);
     return answer.status === 200 ? String(answer.body["status"]) : String(answer.status);
@@ -260,7 +260,7 @@
   async cancel(ref: string, node?: string): Promise<void> {
     this.history.push({ at: this.clock.now(), kind: "asked-cancel", ref });
     for (let i = 0; i < 60; i++) {
-      const answer = await this.target(node)?.jobs.cancel(ref);
+      const answer = await this.target(node)?.relay.answer("cancel", ref);
       if (answer !== undefined) this.told(ref, answer.status, answer.body);
       if (answer?.status === 200) return;
       await new Promise<void>((resolve) => this.clock.after(1000, resolve));
