--- a/deploy/operators.hcl
+++ b/deploy/operators.hcl
@@ -16,6 +16,6 @@
 }
 
 fleet {
-  idle_per_boot  = 1.0 # a machine idle for this multiple of its boot time is returned
+  idle_per_boot  = 0.4 # the dearest machine, idle for this multiple of its boot time, is returned; cheaper ones idle longer
   late_per_boot  = 3.0 # a machine not up after this multiple is replaced
 }
--- a/src/settings/operators.ts
+++ b/src/settings/operators.ts
@@ -25,7 +25,7 @@
     .prefault({}),
   fleet: z
     .strictObject({
-      idle_per_boot: ratio.default(1),
+      idle_per_boot: ratio.default(0.4),
       late_per_boot: ratio.default(3),
     })
     .prefault({}),
