--- a/deploy/operators.hcl
+++ b/deploy/operators.hcl
@@ -10,7 +10,7 @@
 }
 
 queue {
-  order    = "urgency" # urgency: by priority, then arrival; arrival: arrival only
+  order    = "aims"    # aims: by priority, then what can still be done in time; urgency: by priority, then arrival; arrival: arrival only
   backfill = true
   guesses  = "learned" # learned: corrected by class history; owner: as given
 }
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,10 +1,11 @@
 // Builds target/main.js (one bundle, since loading modules one by one costs
 // processor time at every start) and turns the operators' HCL into JSON: no HCL
 // parser on npm fits the memory and processor quota at run time.
-import { readFile, writeFile, mkdir } from "node:fs/promises";
+import { readFile, writeFile, mkdir, rm } from "node:fs/promises";
 import { build } from "esbuild";
 import { parse } from "@cdktf/hcl2json";
 
+await rm("target/chunks", { recursive: true, force: true });
 await mkdir("target", { recursive: true });
 const { version } = JSON.parse(await readFile("package.json", "utf8"));
 await build({
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -72,11 +72,11 @@
     );
   }
 
-  private context(): EstimateContext {
+  estimateContext(): EstimateContext {
     return {
       now: this.scope.clock.now(),
       silentMs: this.settings.timing.reportMs * 2,
-      order: this.settings.operators.queue.order,
+      order: this.leader.order(),
       history: this.leader.history,
       bootMs: (machine) => (this.leader.types.find((t) => t.name === machine.type)?.bootS ?? 0) * 1000,
     };
@@ -126,7 +126,7 @@
       if (part.phase !== "serving") continue;
       const candidates = [...part.units.values()].filter((unit) => this.movable(unit) && now >= (this.asked.get(unit.key) ?? 0));
       if (candidates.length === 0) continue;
-      const waits = estimateWaits(part, this.context());
+      const waits = estimateWaits(part, this.estimateContext());
       for (const unit of candidates) {
         const wait = waits.get(unit.key) ?? Infinity;
         if (wait < this.tuning.phi * 1000) {
@@ -173,7 +173,7 @@
       return;
     }
     const probe = newUnit(keys.job(query.job), job.spec, 0, job.hi, new Bits(job.hi), job.at, this.scope.clock.now());
-    const waitMs = estimateWaits(part, this.context(), [probe]).get(probe.key) ?? Infinity;
+    const waitMs = estimateWaits(part, this.estimateContext(), [probe]).get(probe.key) ?? Infinity;
     const runMs = this.leader.history.expectS(job.spec) * 1000;
     this.peers.send(query.from, { Answer: { id: query.id, part: part.id, waitMs, runMs, utilization: utilization(part) } });
   }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -120,7 +120,7 @@
     return planHires(part, {
       now: this.scope.clock.now(),
       silentMs: this.settings.timing.reportMs * 2,
-      order: this.settings.operators.queue.order,
+      order: this.leader.order(),
       types: this.leader.types,
       open: (offer) => this.open(offer),
       allotment: (team) => this.allotments.held(part.id, team),
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,6 +1,6 @@
 import { tasksWithin, usageByTeam, type Part, type Usage } from "../parts/part.js";
 import { ready, usableSlots, zonesInUse } from "../queue/pass.js";
-import { inOrder } from "../queue/order.js";
+import { inOrder, type LocalOrder } from "../queue/order.js";
 import { allowed, fits, placeTasks, type Slot } from "../queue/placement.js";
 import type { Unit } from "../queue/unit.js";
 import { freeRoom, newMachine } from "../workers/machine.js";
@@ -9,7 +9,7 @@
 export interface PlanContext {
   now: number;
   silentMs: number;
-  order: "urgency" | "arrival";
+  order: LocalOrder;
   types: MachineType[];
   /** Offers the cloud refused lately are left out for a while. */
   open: (offer: Offer) => boolean;
--- a/src/intake/server.ts
+++ b/src/intake/server.ts
@@ -12,6 +12,8 @@
   /** Null: this node can take requests; otherwise why it cannot. */
   unready: () => string | null;
   count: (status: number) => void;
+  view: () => Record<string, unknown>;
+  metrics: () => Promise<string>;
 }
 
 /** The HTTP face for users, workers and health checks. */
@@ -43,6 +45,10 @@
     const reason = door.unready();
     send(res, reason === null ? { status: 200, body: { ok: true } } : { status: 503, body: { error: reason }, retryAfterS: 1 });
   });
+  app.get("/cluster", (_req, res) => send(res, { status: 200, body: door.view() }));
+  app.get("/metrics", async (_req, res) => {
+    res.type("text/plain").send(await door.metrics());
+  });
   app.use((_req, res) => send(res, { status: 404, body: { error: "no such path" } }));
   const fault: ErrorRequestHandler = (error, _req, res, next) => {
     if (res.headersSent) return next(error);
--- a/src/main.ts
+++ b/src/main.ts
@@ -50,6 +50,28 @@
     );
   });
 
+const ask = (name: string, what: string) =>
+  program.command(name).description(what).requiredOption("--node <address>", "front address of any controller");
+const print = (value: unknown): void => void process.stdout.write(`${JSON.stringify(value)}\n`);
+
+ask("submit", "submit the job described in a JSON file")
+  .argument("<file>")
+  .action(async (file: string, options: { node: string }) => print(await (await import("./cli/client.js")).submitJob(options.node, file)));
+ask("show", "show the state of a job")
+  .argument("<ref>")
+  .action(async (ref: string, options: { node: string }) => print(await (await import("./cli/client.js")).showJob(options.node, ref)));
+ask("cancel", "cancel a job")
+  .argument("<ref>")
+  .action(async (ref: string, options: { node: string }) => print(await (await import("./cli/client.js")).cancelJob(options.node, ref)));
+ask("status", "show parts, owners, queues, machines and allotments")
+  .option("--json", "for scripts")
+  .action(async (options: { node: string; json?: boolean }) => {
+    const client = await import("./cli/client.js");
+    const view = await client.clusterStatus(options.node);
+    if (options.json === true) print(view);
+    else process.stdout.write(`${client.statusLines(view)}\n`);
+  });
+
 try {
   await program.parseAsync();
 } catch (error) {
@@ -57,5 +79,8 @@
   else if (error instanceof SettingsError) {
     process.stderr.write(`thorntrail: ${error.message}\n`);
     process.exitCode = 3;
+  } else if ((error as Error).constructor.name === "CommandFailed") {
+    process.stderr.write(`thorntrail: ${(error as Error).message}\n`);
+    process.exitCode = 4;
   } else throw error;
 }
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -7,10 +7,11 @@
 import { sleep } from "../platform/clock.js";
 import type { Scope } from "../platform/scope.js";
 import { RunHistory } from "../queue/estimate.js";
+import { localOrder, type LocalOrder } from "../queue/order.js";
 import { runPass } from "../queue/pass.js";
 import { choosePreemptions } from "../queue/preempt.js";
 import { newUnit, type Placement, type Unit } from "../queue/unit.js";
-import type { Settings } from "../settings/derived.js";
+import { aimS, type Settings } from "../settings/derived.js";
 import { newMachine, type Machine, type Order, type Report, type ReportedTask } from "../workers/machine.js";
 import { dropAll, newFindings, ordersFor, takeReport, type Findings, type ReportContext } from "../workers/reports.js";
 import type { Allotments } from "./allotments.js";
@@ -34,11 +35,13 @@
   readonly dispatch$ = new Subject<{ part: Part; machine: Machine }>();
   /** Teams short of allotment in a part. */
   readonly short$ = new Subject<{ part: Part; team: string; want: Usage }>();
+  /** Tasks that began to run, with their wait since submission. */
+  readonly began$ = new Subject<{ klass: string; waitS: number }>();
   types: MachineType[] = [];
   private passDue = false;
   private readonly taking = new Set<number>();
   private readonly upPending = new Set<string>();
-  stats = { starts: 0, takeovers: 0, preemptions: 0, firstPlacementMs: [] as number[] };
+  stats = { starts: 0, takeovers: 0, preemptions: 0, fencedMs: 0 };
 
   constructor(
     readonly settings: Settings,
@@ -182,6 +185,11 @@
     }
   }
 
+  priceOf(machine: Machine): number {
+    const type = this.types.find((t) => t.name === machine.type);
+    return type === undefined ? 0 : machine.spot ? type.spotPrice : type.price;
+  }
+
   private reviewWork(key: string): void {
     const isJob = key.startsWith(keys.jobs);
     const entry = this.mirror.get<JobRecord | SliceRecord>(key);
@@ -430,6 +438,7 @@
   private began(part: Part, placement: Placement): void {
     const { spec, submittedWall, moved } = placement.unit;
     this.stats.starts++;
+    this.began$.next({ klass: spec.klass, waitS: Math.max(0, this.scope.clock.wall() - submittedWall) / 1000 });
     this.scope.log.debug(
       {
         part: part.id,
@@ -481,6 +490,7 @@
   private reviewFence(part: Part): void {
     for (const machine of part.machines.values()) if (!machine.fenced) return;
     part.phase = "serving";
+    this.stats.fencedMs = Math.round(this.now - part.since);
     this.scope.log.info(
       { part: part.id, term: part.term, ms: Math.round(this.now - part.since), machines: part.machines.size },
       "all machines accounted for; placing",
@@ -528,9 +538,19 @@
     });
   }
 
+  order(): LocalOrder {
+    return localOrder({
+      mode: this.settings.operators.queue.order,
+      nowWall: this.scope.clock.wall(),
+      finishS: (klass) => aimS(this.settings.platform, "finished", klass),
+      expectS: (unit) => this.history.expectS(unit.spec),
+    });
+  }
+
   private pass(): void {
     if (this.silent() || this.types.length === 0) return;
-    const { order, backfill } = this.settings.operators.queue;
+    const { backfill } = this.settings.operators.queue;
+    const order = this.order();
     for (const part of this.parts.values()) {
       const context = {
         now: this.now,
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -1,7 +1,7 @@
 import type { JobSpec } from "../ledger/records.js";
 import type { Part } from "../parts/part.js";
 import { freeRoom, usable, type Capacity, type Machine } from "../workers/machine.js";
-import { inOrder } from "./order.js";
+import { inOrder, type LocalOrder } from "./order.js";
 import { fits, occupy, placeTasks, type Slot } from "./placement.js";
 import { ready, zonesInUse } from "./pass.js";
 import type { Unit } from "./unit.js";
@@ -33,7 +33,7 @@
 export interface EstimateContext {
   now: number;
   silentMs: number;
-  order: "urgency" | "arrival";
+  order: LocalOrder;
   history: RunHistory;
   bootMs: (machine: Machine) => number;
 }
--- a/src/queue/order.ts
+++ b/src/queue/order.ts
@@ -7,8 +7,49 @@
   return RANK[urgency];
 }
 
-/** The local order: first come within a priority, or first come over all. */
-export function inOrder(units: Iterable<Unit>, order: "urgency" | "arrival"): Unit[] {
-  const byArrival = (a: Unit, b: Unit): number => a.submittedWall - b.submittedWall || (a.key < b.key ? -1 : 1);
-  return [...units].sort((a, b) => (order === "urgency" ? rank(a.spec.urgency) - rank(b.spec.urgency) : 0) || byArrival(a, b));
+export type OrderMode = "aims" | "urgency" | "arrival";
+
+/** How a part's queue is ordered; the lesser first. */
+export interface LocalOrder {
+  rank: (unit: Unit) => number;
+  /** When the job counts as having come, in ms. */
+  arrival: (unit: Unit) => number;
+}
+
+export interface OrderContext {
+  mode: OrderMode;
+  nowWall: number;
+  /** Within how many seconds jobs of a class should be done; infinite: no such aim. */
+  finishS: (klass: string) => number;
+  expectS: (unit: Unit) => number;
+}
+
+/** Tasks of an array that may be expected to run at the same time. */
+const USUAL_WIDTH = 4;
+
+/**
+ * First come within a priority. With `aims`, among classes that should be done
+ * in time, a large job counts as having come later by the time its work takes, so
+ * that several small ones make it instead; and one that can no longer make it
+ * yields to those that can. Both are bounded: nothing waits for ever.
+ */
+export function localOrder(context: OrderContext): LocalOrder {
+  return {
+    rank: (unit) => (context.mode === "arrival" ? 0 : rank(unit.spec.urgency)),
+    arrival: (unit) => {
+      const within = context.mode === "aims" ? context.finishS(unit.spec.klass) : Infinity;
+      if (!Number.isFinite(within)) return unit.submittedWall;
+      const run = context.expectS(unit);
+      const width = unit.spec.kind === "gang" ? unit.spec.tasks : USUAL_WIDTH;
+      const work = run * Math.ceil(unit.waiting.length / width);
+      const late = (context.nowWall - unit.submittedWall) / 1000 + run > within;
+      return unit.submittedWall + 1000 * (Math.min(work, within) + (late ? within : 0));
+    },
+  };
+}
+
+export function inOrder(units: Iterable<Unit>, order: LocalOrder): Unit[] {
+  const keyed = [...units].map((unit) => ({ unit, rank: order.rank(unit), arrival: order.arrival(unit) }));
+  keyed.sort((a, b) => a.rank - b.rank || a.arrival - b.arrival || (a.unit.key < b.unit.key ? -1 : 1));
+  return keyed.map(({ unit }) => unit);
 }
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -1,13 +1,13 @@
 import { nextAttempt, tasksWithin, usageByTeam, type Part, type Usage } from "../parts/part.js";
 import { attemptKey, freeRoom, usable, type Machine } from "../workers/machine.js";
-import { inOrder } from "./order.js";
+import { inOrder, type LocalOrder } from "./order.js";
 import { placeTasks, type Slot } from "./placement.js";
 import { pieceName, place, type Placement, type Unit } from "./unit.js";
 
 export interface PassContext {
   now: number;
   silentMs: number;
-  order: "urgency" | "arrival";
+  order: LocalOrder;
   backfill: boolean;
   /** Of each team's limit, what this part holds at present. */
   allotment: (team: string) => Usage;
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -8,6 +8,8 @@
 import { systemClock } from "./platform/clock.js";
 import { openLog } from "./platform/log.js";
 import { Scope } from "./platform/scope.js";
+import { Metrics } from "./status/metrics.js";
+import { clusterView } from "./status/view.js";
 import type { Settings } from "./settings/derived.js";
 import { HttpWorkers } from "./workers/worker-client.js";
 
@@ -28,12 +30,15 @@
     },
     scope,
   );
-  const answers = new Map<number, number>();
+  const metrics = new Metrics(controller);
+  scope.listen(controller.leader.began$, ({ klass, waitS }) => metrics.countWait(klass, waitS));
   const app = buildApp({
     relay: controller.relay,
     leader: controller.leader,
     unready: () => controller.unready(),
-    count: (status) => answers.set(status, (answers.get(status) ?? 0) + 1),
+    count: (status) => metrics.countAnswer(status),
+    view: () => clusterView(controller),
+    metrics: () => metrics.text(),
   });
   const server = createServer(app);
   // Peers, workers and clients close connections; we keep them, within the quota.
--- a/src/settings/operators.ts
+++ b/src/settings/operators.ts
@@ -18,7 +18,7 @@
     .prefault({}),
   queue: z
     .strictObject({
-      order: z.enum(["urgency", "arrival"]).default("urgency"),
+      order: z.enum(["aims", "urgency", "arrival"]).default("aims"),
       backfill: z.boolean().default(true),
       guesses: z.enum(["learned", "owner"]).default("learned"),
     })
--- /dev/null
+++ b/src/status/metrics.ts
@@ -0,0 +1,85 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { Controller } from "../controller.js";
+import { estimateWaits } from "../queue/estimate.js";
+
+const MAX_CLASSES = 50;
+
+/** Figures for the operators' collector, in the usual text format. */
+export class Metrics {
+  private readonly registry = new Registry();
+  private readonly classes = new Set<string>();
+  private readonly waits: Histogram;
+  private readonly answers: Counter;
+
+  constructor(controller: Controller) {
+    const registers = [this.registry];
+    this.waits = new Histogram({
+      name: "thorntrail_wait_seconds",
+      help: "From submission to running, by class",
+      labelNames: ["class"],
+      buckets: [1, 2, 5, 10, 20, 50, 100, 200, 500],
+      registers,
+    });
+    this.answers = new Counter({ name: "thorntrail_answers_total", help: "Answers by status", labelNames: ["status"], registers });
+    const { leader, exchange, fleet, committer, relay } = controller;
+    const gauge = (name: string, help: string, read: () => number): void => {
+      new Gauge({
+        name: `thorntrail_${name}`,
+        help,
+        registers,
+        collect() {
+          this.set(read());
+        },
+      });
+    };
+    const sum = (read: (part: Parameters<typeof estimateWaits>[0]) => number) => () =>
+      [...leader.parts.values()].reduce((n, part) => n + read(part), 0);
+    gauge("parts", "Parts led by this node", () => leader.parts.size);
+    gauge(
+      "machines",
+      "Machines of this node's parts",
+      sum((part) => part.machines.size),
+    );
+    gauge(
+      "queued_tasks",
+      "Tasks waiting in this node's parts",
+      sum((part) => [...part.units.values()].reduce((n, u) => n + u.waiting.length, 0)),
+    );
+    gauge("starts_total", "Tasks seen to begin", () => leader.stats.starts);
+    gauge("preemptions_total", "Tasks stopped for work of higher priority", () => leader.stats.preemptions);
+    gauge("takeovers_total", "Parts taken over", () => leader.stats.takeovers);
+    gauge("moves_home_total", "Jobs asked about that stayed home", () => exchange.stats.home);
+    gauge("moves_volunteer_total", "Jobs moved to volunteers", () => exchange.stats.volunteer);
+    gauge("moves_asked_total", "Jobs moved after asking every peer", () => exchange.stats.asked);
+    gauge("queries_total", "Queries sent to other parts", () => exchange.stats.queries);
+    gauge("hired_total", "Machines rented", () => fleet.stats.hired);
+    gauge("returned_total", "Machines returned", () => fleet.stats.returned);
+    gauge("hire_refusals_total", "Rentals refused or partly filled", () => fleet.stats.refused);
+    gauge("state_transactions_total", "Transactions sent", () => committer.stats.transactions);
+    gauge("state_writes_total", "Writes sent", () => committer.stats.writes);
+    gauge("state_conflicts_total", "Transactions refused for a changed stamp", () => committer.stats.conflicts);
+    gauge("state_unanswered_total", "Transactions without an answer", () => committer.stats.unanswered);
+    gauge("relayed_total", "Requests a peer answered for this node", () => relay.stats.answered);
+    gauge("takeover_ms", "From taking the newest part to its first placement pass", () => leader.stats.fencedMs);
+    gauge(
+      "price_per_hour",
+      "Of the machines of this node's parts",
+      sum((part) => [...part.machines.values()].reduce((n, m) => n + leader.priceOf(m), 0)),
+    );
+  }
+
+  countAnswer(status: number): void {
+    this.answers.inc({ status: String(status) });
+  }
+
+  countWait(klass: string, seconds: number): void {
+    // Class names come from users: a bounded set of labels, the rest together.
+    const known = this.classes.has(klass) || this.classes.size < MAX_CLASSES;
+    if (known) this.classes.add(klass);
+    this.waits.observe({ class: known ? klass : "(other)" }, seconds);
+  }
+
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+}
--- /dev/null
+++ b/src/status/view.ts
@@ -0,0 +1,44 @@
+import type { Controller } from "../controller.js";
+import { keys, type AllotmentRecord, type MachineRecord } from "../ledger/records.js";
+import { estimateWaits, utilization } from "../queue/estimate.js";
+
+/** The cluster as this node sees it, for the person on call. */
+export function clusterView(controller: Controller): Record<string, unknown> {
+  const { settings, mirror, ownership, leader, exchange } = controller;
+  const machines = [...mirror.rows<MachineRecord>(keys.machines).values()];
+  const parts = settings.nodes.map((_, id) => {
+    const part = leader.parts.get(id);
+    const owner = ownership.owner(id);
+    const recorded = machines.filter((m) => m.v.part === id);
+    const base = {
+      part: id,
+      owner: owner?.owner ?? null,
+      ownerPresent: owner !== undefined && ownership.alive(owner.owner),
+      term: mirror.stamp(keys.owner(id)),
+      machines: recorded.length,
+      machinesUp: recorded.filter((m) => m.v.up === true).length,
+    };
+    if (part === undefined) return base;
+    const waits = [...estimateWaits(part, exchange.estimateContext()).values()].filter(Number.isFinite);
+    return {
+      ...base,
+      phase: part.phase,
+      queuedJobs: [...part.units.values()].filter((u) => u.waiting.length > 0).length,
+      queuedTasks: [...part.units.values()].reduce((n, u) => n + u.waiting.length, 0),
+      longestWaitS: waits.length === 0 ? 0 : Math.round(Math.max(...waits) / 100) / 10,
+      utilization: part.machines.size === 0 ? null : Math.round(utilization(part) * 100) / 100,
+    };
+  });
+  const allotments = settings.platform.deployment.teams.map(({ name }) => {
+    const record = mirror.get<AllotmentRecord>(keys.allotment(name))?.v;
+    return { team: name, cpus: record?.cpus ?? [], gpus: record?.gpus ?? [] };
+  });
+  return {
+    node: settings.self,
+    ready: controller.unready() ?? "yes",
+    stateAgeMs: Number.isFinite(mirror.ageMs()) ? Math.round(mirror.ageMs()) : null,
+    present: settings.nodes.filter((node) => ownership.alive(node)),
+    parts,
+    allotments,
+  };
+}
