--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -10,6 +10,7 @@
 import type { PeerApi } from "../peers/links.js";
 import type { Answer, Query, Volunteer, Want } from "../peers/messages.js";
 import { estimateWaits, utilization, type EstimateContext } from "../queue/estimate.js";
+import { PREEMPT_AFTER_PHI } from "../queue/preempt.js";
 import { newUnit, type Unit } from "../queue/unit.js";
 import type { Settings } from "../settings/derived.js";
 import { best, type Bid } from "./choice.js";
@@ -78,6 +79,7 @@
       silentMs: this.settings.timing.reportMs * 2,
       order: this.leader.order(),
       history: this.leader.history,
+      preemptAfterMs: this.tuning.phi * PREEMPT_AFTER_PHI * 1000,
       bootMs: (machine) => (this.leader.types.find((t) => t.name === machine.type)?.bootS ?? 0) * 1000,
     };
   }
--- a/src/ledger/committer.ts
+++ b/src/ledger/committer.ts
@@ -25,6 +25,7 @@
   inDoubt: boolean;
   shedAt: number;
   first: boolean;
+  alone: boolean;
 }
 
 const MAX_QUEUE = 2000;
@@ -55,12 +56,16 @@
     return this.queue.length;
   }
 
-  /** `shedAfterMs`: give up if it could not be sent by then. `first`: before others. */
-  commit(label: string, draft: () => Draft | null, options: { shedAfterMs?: number; first?: boolean } = {}): Promise<Outcome> {
+  /** `alone`: shares its transaction, hence its stamp, with nothing else. `shedAfterMs`: give up if it could not be sent by then. `first`: before others. */
+  commit(
+    label: string,
+    draft: () => Draft | null,
+    options: { shedAfterMs?: number; first?: boolean; alone?: boolean } = {},
+  ): Promise<Outcome> {
     return new Promise((resolve) => {
       if (this.queue.length >= MAX_QUEUE) return resolve("shed");
       const shedAt = options.shedAfterMs === undefined ? Infinity : this.clock.now() + options.shedAfterMs;
-      this.queue.push({ label, draft, resolve, inDoubt: false, shedAt, first: options.first === true });
+      this.queue.push({ label, draft, resolve, inDoubt: false, shedAt, first: options.first === true, alone: options.alone === true });
       if (!this.running) void this.run();
     });
   }
@@ -142,6 +147,7 @@
     const settled = new Set<Intent>();
     for (const intent of ordered) {
       if (apply.length >= this.limits.txnOps) break;
+      if (intent.alone && intents.length > 0) continue;
       const draft = intent.draft();
       if (draft === null) {
         settled.add(intent);
@@ -167,6 +173,7 @@
         written.add("write" in op ? op.write : op.remove);
         apply.push(op);
       }
+      if (intent.alone) break;
     }
     if (settled.size > 0) {
       this.queue = this.queue.filter((intent) => !settled.has(intent));
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -9,7 +9,7 @@
 import { RunHistory } from "../queue/estimate.js";
 import { localOrder, type LocalOrder } from "../queue/order.js";
 import { runPass } from "../queue/pass.js";
-import { choosePreemptions } from "../queue/preempt.js";
+import { choosePreemptions, PREEMPT_AFTER_PHI } from "../queue/preempt.js";
 import { newUnit, type Placement, type Unit } from "../queue/unit.js";
 import { aimS, type Settings } from "../settings/derived.js";
 import { newMachine, type Machine, type Order, type Report, type ReportedTask } from "../workers/machine.js";
@@ -18,8 +18,9 @@
 import { addUnit, newPart, removeUnit, usageByTeam, type Part, type Usage } from "./part.js";
 
 const MAX_ORDERS = 250;
-/** Of phi: time for the exchange to find room elsewhere before tasks are stopped. */
-const PREEMPT_AFTER_PHI = 0.2;
+/** Tasks seen, and times the usual run time they took, before a machine counts as slow. */
+const SLOW_AFTER = 3;
+const SLOW_FACTOR = 2;
 
 export type ReportAnswer =
   { kind: "orders"; token: number; orders: Order[] } | { kind: "elsewhere"; boss: string | null } | { kind: "silent" };
@@ -39,7 +40,7 @@
   readonly began$ = new Subject<{ klass: string; waitS: number }>();
   types: MachineType[] = [];
   private passDue = false;
-  private readonly taking = new Set<number>();
+  private readonly taking = new Set<string>();
   private readonly upPending = new Set<string>();
   stats = { starts: 0, takeovers: 0, preemptions: 0, fencedMs: 0 };
 
@@ -110,8 +111,9 @@
    * neither fenced nor counted. So read up to the claim before building the part.
    */
   private async takeFresh(id: number, term: number): Promise<void> {
-    if (this.taking.has(term)) return;
-    this.taking.add(term);
+    const claim = `${id}/${term}`;
+    if (this.taking.has(claim)) return;
+    this.taking.add(claim);
     for (;;) {
       try {
         await this.mirror.fresh();
@@ -120,7 +122,7 @@
         await sleep(this.scope.clock, this.settings.timing.reportMs / 5);
       }
     }
-    this.taking.delete(term);
+    this.taking.delete(claim);
     const entry = this.mirror.get<OwnerRecord>(keys.owner(id));
     if (entry?.stamp === term && entry.v.life === this.life && !this.parts.has(id)) this.take(id, term);
   }
@@ -429,7 +431,10 @@
 
   private act(part: Part, findings: Findings): void {
     for (const unit of findings.finished) this.record(part, unit);
-    for (const { unit, seconds } of findings.runs) this.history.note(unit.spec, seconds);
+    for (const { unit, seconds, host } of findings.runs) {
+      this.judgePace(part, unit, seconds, host);
+      this.history.note(unit.spec, seconds);
+    }
     for (const placement of findings.began) this.began(part, placement);
     for (const unit of findings.broken) this.bringDown(part, unit);
     if (findings.changed) this.wake();
@@ -454,6 +459,39 @@
     );
   }
 
+  /** A machine on which several tasks took much longer than their kin is returned when empty. */
+  private judgePace(part: Part, unit: Unit, seconds: number, host: string): void {
+    const machine = part.machines.get(host);
+    // A gang runs as fast as its slowest machine, so its times accuse none of them.
+    if (machine === undefined || unit.spec.kind !== "array") return;
+    machine.pace.sum += Math.log(seconds / this.history.expectS(unit.spec));
+    machine.pace.count++;
+    if (machine.draining || machine.pace.count < SLOW_AFTER || machine.pace.sum / machine.pace.count < Math.log(SLOW_FACTOR)) return;
+    machine.draining = true;
+    this.scope.log.info({ part: part.id, host, factor: Math.exp(machine.pace.sum / machine.pace.count) }, "machine set aside: slow");
+  }
+
+  /**
+   * Work that can save, and replicas, leave a machine that is going while there is
+   * time; what would finish first, or cannot save anyway, runs on.
+   */
+  private evacuate(part: Part, machine: Machine): void {
+    const { reportMs } = this.settings.timing;
+    const leftMs = machine.noticeAt === null ? Infinity : machine.noticeAt - this.now;
+    for (const placement of machine.placements.values()) {
+      const { spec } = placement.unit;
+      if (placement.stop !== null || placement.state !== "running") continue;
+      const flushMs = spec.flushS * 1000;
+      const isService = spec.kind === "service";
+      if (!isService && (spec.kind === "gang" || machine.noticeAt === null || spec.checkpointS <= 0)) continue;
+      const runLeftMs = this.history.expectS(spec) * 1000 - (this.now - (placement.runningAt ?? this.now));
+      const now = isService || (leftMs < flushMs + 2 * reportMs && leftMs > flushMs && runLeftMs > leftMs);
+      if (!now) continue;
+      placement.stop = { graceS: spec.flushS };
+      this.dispatch$.next({ part, machine });
+    }
+  }
+
   /** A gang lost a member: the rest must go before all can start again. */
   private bringDown(part: Part, unit: Unit): void {
     for (const placement of unit.placed.values()) {
@@ -480,6 +518,7 @@
           this.scope.log.info({ part: part.id, host: machine.host }, "machine lost: its lease ran out");
           this.act(part, findings);
         }
+        if (part.phase === "serving" && (machine.noticeAt !== null || machine.draining)) this.evacuate(part, machine);
         if (!machine.fenced && !machine.lost && part.phase === "fencing") this.dispatch$.next({ part, machine });
       }
       if (part.phase === "fencing") this.reviewFence(part);
--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -128,9 +128,13 @@
       if (reason === "owner gone" && this.alive(before!.v.owner)) return null;
       return { conditions, apply: [{ write: key, v: { owner: this.settings.self, life: this.life } satisfies OwnerRecord }] };
     };
-    void this.committer.commit("claim", draft, { first: true, shedAfterMs: this.settings.timing.presenceMs }).then((outcome) => {
-      this.claiming.delete(part);
-      if (outcome === "done") this.scope.log.info({ part, reason, term: this.mirror.stamp(key), former: before?.v.owner }, "part taken");
-    });
+    // Alone: the stamp is the term, and two parts taken in one transaction would
+    // share it, with attempts and tokens that cannot be told apart.
+    void this.committer
+      .commit("claim", draft, { first: true, alone: true, shedAfterMs: this.settings.timing.presenceMs })
+      .then((outcome) => {
+        this.claiming.delete(part);
+        if (outcome === "done") this.scope.log.info({ part, reason, term: this.mirror.stamp(key), former: before?.v.owner }, "part taken");
+      });
   }
 }
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -2,7 +2,8 @@
 import type { Part } from "../parts/part.js";
 import { freeRoom, usable, type Capacity, type Machine } from "../workers/machine.js";
 import { inOrder, type LocalOrder } from "./order.js";
-import { fits, occupy, placeTasks, type Slot } from "./placement.js";
+import { allowed, fits, occupy, placeTasks, type Slot } from "./placement.js";
+import { stoppable } from "./preempt.js";
 import { ready, zonesInUse } from "./pass.js";
 import type { Unit } from "./unit.js";
 
@@ -36,6 +37,8 @@
   order: LocalOrder;
   history: RunHistory;
   bootMs: (machine: Machine) => number;
+  /** After this long, lower work is stopped for a job that waits. */
+  preemptAfterMs: number;
 }
 
 interface Event {
@@ -115,6 +118,11 @@
     });
   };
   settle(now);
+  left = left.filter((entry) => {
+    if (!canMakeRoom(entry.unit, entry.tasks, slots, part)) return true;
+    waits.set(entry.unit.key, context.preemptAfterMs);
+    return false;
+  });
   for (let i = 0; i < MAX_EVENTS && events.length > 0 && left.length > 0; i++) {
     const event = events.shift()!;
     occupy(event.slot, event.freed, -1);
@@ -124,6 +132,41 @@
   return waits;
 }
 
+/**
+ * Could lower work on the part's machines be stopped to hold the job? Without
+ * counting that, urgent jobs flee from parts full of low work to parts where
+ * nothing may be stopped for them, and there they stay put.
+ */
+function canMakeRoom(unit: Unit, tasks: number, slots: Slot[], part: Part): boolean {
+  const { spec } = unit;
+  if (spec.oneZone || spec.spread) return false;
+  const soft = slots
+    .filter((slot) => allowed(spec, slot.machine) && slot.machine.fenced && slot.machine.up)
+    .map((slot) => {
+      const free = { ...slot.free };
+      for (const placement of slot.machine.placements.values()) {
+        if (!stoppable(placement, unit)) continue;
+        free.cpus += placement.unit.spec.cpus;
+        free.gpus += placement.unit.spec.gpus;
+        free.ram += placement.unit.spec.ram;
+      }
+      return { machine: slot.machine, free };
+    });
+  if (placeTasks(spec, tasks, soft, zonesInUse(part, unit), unit.failedOn, true).length < tasks) return false;
+  // What it takes is not there for the next one.
+  for (const { machine, free } of soft) {
+    const slot = slots.find((s) => s.machine === machine)!;
+    const before = { ...slot.free };
+    const stopped = [...machine.placements.values()].filter((p) => stoppable(p, unit));
+    const all = stopped.reduce((sum, p) => sum + p.unit.spec.cpus, before.cpus);
+    const taken = all - free.cpus;
+    if (taken <= 0) continue;
+    const count = spec.cpus > 0 ? Math.round(taken / spec.cpus) : 1;
+    occupy(slot, { cpus: spec.cpus * count, gpus: spec.gpus * count, ram: spec.ram * count });
+  }
+  return true;
+}
+
 function insert(events: Event[], event: Event): void {
   let at = events.length;
   while (at > 0 && events[at - 1]!.at > event.at) at--;
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -18,6 +18,14 @@
   return checkpointS > 0 ? Math.min(ran, flushS) : ran;
 }
 
+/** Of strictly lower priority, and no gang's, since all of that would go. */
+export function stoppable(placement: Placement, unit: Unit): boolean {
+  return placement.unit.spec.kind !== "gang" && rank(placement.unit.spec.urgency) > rank(unit.spec.urgency);
+}
+
+/** Of phi: time for the exchange to find room elsewhere before tasks are stopped. */
+export const PREEMPT_AFTER_PHI = 0.2;
+
 /**
  * Tasks on one machine that may be stopped for a job: of strictly lower
  * priority only, never a gang's (all of it would go). The newest jobs first, as
@@ -25,7 +33,7 @@
  */
 function candidates(machine: Machine, unit: Unit, now: number): Placement[] {
   return [...machine.placements.values()]
-    .filter((p) => p.stop === null && p.unit.spec.kind !== "gang" && rank(p.unit.spec.urgency) > rank(unit.spec.urgency))
+    .filter((p) => p.stop === null && stoppable(p, unit))
     .sort(
       (a, b) =>
         rank(b.unit.spec.urgency) - rank(a.unit.spec.urgency) ||
