--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -6,11 +6,12 @@
 import type { Allotments } from "../parts/allotments.js";
 import type { Leader } from "../parts/leader.js";
 import type { Ownership } from "../parts/ownership.js";
-import { usageByTeam, type Part, type Usage } from "../parts/part.js";
+import { usageByTeam, type Part } from "../parts/part.js";
 import type { PeerApi } from "../peers/links.js";
 import type { Answer, Query, Volunteer, Want } from "../peers/messages.js";
 import { estimateWaits, utilization, type EstimateContext } from "../queue/estimate.js";
 import { PREEMPT_AFTER_PHI } from "../queue/preempt.js";
+import type { Shortage } from "../queue/pass.js";
 import { newUnit, type Unit } from "../queue/unit.js";
 import type { Settings } from "../settings/derived.js";
 import { best, type Bid } from "./choice.js";
@@ -225,14 +226,17 @@
 
   // ---- allotments
 
-  private askAllotment(part: Part, team: string, want: Usage): void {
+  private askAllotment(part: Part, team: string, want: Shortage): void {
     const now = this.scope.clock.now();
     const label = `${part.id}|${team}`;
     if (now < (this.wanted.get(label) ?? 0)) return;
     this.wanted.set(label, now + this.settings.timing.reportMs / 2);
     for (let id = 0; id < this.settings.nodes.length; id++) {
       const owner = this.ownerOf(id);
-      if (id !== part.id && owner !== null) this.peers.send(owner, { Want: { part: part.id, team, ...want } });
+      if (id !== part.id && owner !== null)
+        this.peers.send(owner, {
+          Want: { part: part.id, team, cpus: want.cpus, gpus: want.gpus, nowCpus: want.now.cpus, nowGpus: want.now.gpus },
+        });
     }
   }
 
@@ -241,13 +245,20 @@
       if (part.id === want.part || part.phase !== "serving") continue;
       const held = this.allotments.held(part.id, want.team);
       const used = usageByTeam(part).get(want.team) ?? { cpus: 0, gpus: 0 };
-      let { cpus, gpus } = { cpus: held.cpus - used.cpus, gpus: held.gpus - used.gpus };
+      // What waits here and has no room does not use the allotment either: a part that
+      // has room for the team at this moment may have it.
+      const unused = { cpus: held.cpus - used.cpus, gpus: held.gpus - used.gpus };
+      const free = { ...unused };
       for (const unit of part.units.values()) {
         if (unit.spec.team !== want.team) continue;
-        cpus -= unit.spec.cpus * unit.waiting.length;
-        gpus -= unit.spec.gpus * unit.waiting.length;
+        free.cpus -= unit.spec.cpus * unit.waiting.length;
+        free.gpus -= unit.spec.gpus * unit.waiting.length;
       }
-      this.allotments.cede(part, want.part, want.team, want, { cpus, gpus });
+      const spare = {
+        cpus: Math.max(free.cpus, Math.min(unused.cpus, want.nowCpus)),
+        gpus: Math.max(free.gpus, Math.min(unused.gpus, want.nowGpus)),
+      };
+      this.allotments.cede(part, want.part, want.team, want, spare);
     }
   }
 }
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -8,14 +8,14 @@
 import type { Scope } from "../platform/scope.js";
 import { RunHistory } from "../queue/estimate.js";
 import { localOrder, type LocalOrder } from "../queue/order.js";
-import { runPass } from "../queue/pass.js";
+import { runPass, type Shortage } from "../queue/pass.js";
 import { choosePreemptions, PREEMPT_AFTER_PHI } from "../queue/preempt.js";
 import { newUnit, type Placement, type Unit } from "../queue/unit.js";
 import { aimS, type Settings } from "../settings/derived.js";
 import { newMachine, type Machine, type Order, type Report, type ReportedTask } from "../workers/machine.js";
 import { dropAll, newFindings, ordersFor, takeReport, type Findings, type ReportContext } from "../workers/reports.js";
 import type { Allotments } from "./allotments.js";
-import { addUnit, newPart, removeUnit, usageByTeam, type Part, type Usage } from "./part.js";
+import { addUnit, newPart, removeUnit, usageByTeam, type Part } from "./part.js";
 
 const MAX_ORDERS = 250;
 /** Tasks seen, and times the usual run time they took, before a machine counts as slow. */
@@ -35,7 +35,7 @@
   /** Machines with orders that should not wait for the next report. */
   readonly dispatch$ = new Subject<{ part: Part; machine: Machine }>();
   /** Teams short of allotment in a part. */
-  readonly short$ = new Subject<{ part: Part; team: string; want: Usage }>();
+  readonly short$ = new Subject<{ part: Part; team: string; want: Shortage }>();
   /** Tasks that began to run, with their wait since submission. */
   readonly began$ = new Subject<{ klass: string; waitS: number }>();
   types: MachineType[] = [];
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -29,6 +29,9 @@
   team: string;
   cpus: number;
   gpus: number;
+  /** Of it, what there is room for at this moment. */
+  nowCpus: number;
+  nowGpus: number;
 }
 /** A user's request passed on, its body as JSON text. */
 export interface RelayAsk {
@@ -92,6 +95,8 @@
             ["team", "string"],
             ["cpus", "double"],
             ["gpus", "double"],
+            ["nowCpus", "double"],
+            ["nowGpus", "double"],
           ]),
           record("Health", [["stateOk", "boolean"]]),
           record("Relay", [
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -17,9 +17,17 @@
   /** Machines that have new orders. */
   touched: Set<Machine>;
   /** Slices held up by their team's allotment here, with the tasks that wait. */
-  short: Map<string, Usage>;
+  short: Map<string, Shortage>;
 }
 
+/** What a team lacks here; `now`: how much of it there is room for at this moment. */
+export interface Shortage extends Usage {
+  now: Usage;
+}
+
+/** Tasks that are tried for room on behalf of a team short of allotment. */
+const PROBE = 16;
+
 /** Where tasks of the same job are, or may be, whatever slice they belong to. */
 export function zonesInUse(part: Part, unit: Unit): Map<string, number> {
   const zones = new Map<string, number>();
@@ -55,6 +63,7 @@
   const slots = usableSlots(part, context.now, context.silentMs);
   const usage = usageByTeam(part);
   const hopeless = new Set<string>();
+  const lacking = new Map<string, { unit: Unit; missing: number }>();
   for (const unit of inOrder(waiting, context.order)) {
     const { spec } = unit;
     const shape = `${spec.kind === "gang" ? unit.waiting.length : 1}|${spec.cpus}|${spec.gpus}|${spec.ram}|${spec.types?.join() ?? ""}|${spec.zone}|${spec.spot}|${spec.oneZone}`;
@@ -64,7 +73,8 @@
     const wanted = unit.waiting.length;
     const within = Math.min(wanted, room);
     if (within < wanted) {
-      const entry = result.short.get(spec.team) ?? { cpus: 0, gpus: 0 };
+      const entry = result.short.get(spec.team) ?? { cpus: 0, gpus: 0, now: { cpus: 0, gpus: 0 } };
+      if (!lacking.has(spec.team)) lacking.set(spec.team, { unit, missing: wanted - within });
       entry.cpus += spec.cpus * (wanted - within);
       entry.gpus += spec.gpus * (wanted - within);
       result.short.set(spec.team, entry);
@@ -103,5 +113,10 @@
     });
     usage.set(spec.team, { cpus: used.cpus + spec.cpus * chosen.length, gpus: used.gpus + spec.gpus * chosen.length });
   }
+  for (const [team, { unit, missing }] of lacking) {
+    const count = unit.spec.kind === "gang" ? unit.waiting.length : Math.min(PROBE, missing);
+    const fit = placeTasks(unit.spec, count, slots, zonesInUse(part, unit), unit.failedOn, unit.spec.kind === "gang").length;
+    result.short.get(team)!.now = { cpus: fit * unit.spec.cpus, gpus: fit * unit.spec.gpus };
+  }
   return result;
 }
