--- /dev/null
+++ b/test/peers.test.ts
@@ -0,0 +1,24 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { encodeFrame, FrameReader, MAX_FRAME, type Message } from "../src/peers/messages.js";
+
+const messages: Message[] = [
+  { Hello: { version: 1, node: "nest-0" } },
+  { Volunteer: { part: 1, utilization: 0.25 } },
+  { Answer: { id: 7, part: 2, waitMs: Infinity, runMs: 1000, utilization: 1 } },
+  { Relay: { id: 1, kind: "poll", body: '"run-000001"' } },
+];
+
+test("messages survive being cut into single bytes", () => {
+  const reader = new FrameReader();
+  const seen: Message[] = [];
+  for (const byte of Buffer.concat(messages.map(encodeFrame))) seen.push(...reader.push(Buffer.from([byte])));
+  assert.deepEqual(JSON.parse(JSON.stringify(seen)), JSON.parse(JSON.stringify(messages)));
+});
+
+test("an oversized or malformed frame is refused", () => {
+  const head = Buffer.alloc(4);
+  head.writeUInt32BE(MAX_FRAME + 1);
+  assert.throws(() => new FrameReader().push(head));
+  assert.throws(() => new FrameReader().push(Buffer.from([0, 0, 0, 2, 0xff, 0xff])));
+});
--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,62 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { derive } from "../src/settings/derived.js";
+import { checkOperators } from "../src/settings/operators.js";
+import { parsePlatform } from "../src/settings/platform-file.js";
+
+const good = `
+host_name = "nest-1"
+front = "10.0.0.1:8080"
+peer_listen = "10.0.0.1:8081"
+novelty = 7
+[[known]]
+host_name = "nest-0"
+peer_addr = "10.0.0.2:8081"
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[deployment]
+size = 2
+[deployment.workers]
+report_s = 2.5
+lease_s = 18.0
+gang_wait_s = 35.0
+gang_peer_s = 4.0
+cancel_s = 43.0
+[deployment.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 32.0
+txn_ops = 16
+[deployment.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[deployment.quota]
+core_share = 0.3
+mem_mb = 178.0
+sockets = 1500
+`;
+
+test("unknown fields of the platform's file are ignored, faults name file and field", () => {
+  assert.equal(parsePlatform("s.toml", good).host_name, "nest-1");
+  assert.throws(
+    () => parsePlatform("s.toml", good.replace("lease_s = 18.0", 'lease_s = "long"')),
+    /s\.toml: deployment\.workers\.lease_s: /,
+  );
+  assert.throws(() => parsePlatform("s.toml", good.replace("txn_ops = 16", "")), /s\.toml: deployment\.state\.txn_ops: /);
+  assert.throws(() => parsePlatform("s.toml", "host_name = "), /s\.toml: not TOML/);
+});
+
+test("unknown operators' settings are refused, known ones checked", () => {
+  assert.equal(checkOperators("o.hcl", {}).exchange.phi, 5);
+  assert.equal(checkOperators("o.hcl", { exchange: [{ phi: 9 }] }).exchange.phi, 9);
+  assert.throws(() => checkOperators("o.hcl", { exchange: [{ fi: 9 }] }), /o\.hcl: exchange.*fi/);
+  assert.throws(() => checkOperators("o.hcl", { queue: [{ order: "random" }] }), /o\.hcl: queue\.order/);
+  assert.throws(() => checkOperators("o.hcl", { queue: [{}, {}] }), /given more than once/);
+});
+
+test("a silent leader's workers have lost their leases before a cancellation is due", () => {
+  const { timing, nodes } = derive(parsePlatform("s.toml", good), checkOperators("o.hcl", {}));
+  assert.ok(timing.silentAfterMs + timing.expiryMs < 43_000);
+  assert.deepEqual(nodes, ["nest-0", "nest-1"]);
+});
