--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -483,12 +483,18 @@
       if (placement.stop !== null || placement.state !== "running") continue;
       const flushMs = spec.flushS * 1000;
       const isService = spec.kind === "service";
-      if (!isService && (spec.kind === "gang" || machine.noticeAt === null || spec.checkpointS <= 0)) continue;
+      if (!isService && (machine.noticeAt === null || spec.checkpointS <= 0)) continue;
       const runLeftMs = this.history.expectS(spec) * 1000 - (this.now - (placement.runningAt ?? this.now));
       const now = isService || (leftMs < flushMs + 2 * reportMs && leftMs > flushMs && runLeftMs > leftMs);
       if (!now) continue;
-      placement.stop = { graceS: spec.flushS };
-      this.dispatch$.next({ part, machine });
+      // All of a gang must be told within `gang_peer_s` of the first, or the save fails.
+      const together = spec.kind === "gang" ? [...placement.unit.placed.values()] : [placement];
+      for (const mate of together) {
+        const host = part.machines.get(mate.host);
+        if (mate.stop !== null || host === undefined) continue;
+        mate.stop = { graceS: spec.flushS };
+        this.dispatch$.next({ part, machine: host });
+      }
     }
   }
 
