Say once what was said twice: finished gangs, prices, piece names, freed room

No change of behaviour is meant. A finished task of a gang is marked in one place, the price of a machine comes from the leader, piece names are cut by one function, and room freed by stopping tasks goes through `occupy`. The wait estimate takes the room that preemption would use from what placement chose instead of working it back from CPUs; the two differ only for tasks of 0 CPUs, which the old way forgot. An unused counter is gone.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -10,7 +10,7 @@
 import type { Scope } from "../platform/scope.js";
 import type { Settings } from "../settings/derived.js";
 import type { Machine } from "../workers/machine.js";
-import type { CloudApi, MachineType, Offer } from "./cloud-client.js";
+import type { CloudApi, Offer } from "./cloud-client.js";
 import { offerName, planHires, type HirePlan } from "./plan.js";
 
 const LIST_PAGE = 500;
@@ -212,14 +212,14 @@
     if (machine.noticeAt !== null) return "notice";
     // A gang's machines come up one by one: those that wait for the rest are not idle.
     if (needed.has(machine.host)) return null;
-    if (part.phase === "serving" && now - machine.idleSince > bootMs * idle_per_boot * this.cheapness(type, machine.spot)) return "idle";
+    if (part.phase === "serving" && now - machine.idleSince > bootMs * idle_per_boot * this.cheapness(machine)) return "idle";
     return null;
   }
 
   /** How much cheaper than the dearest machine this one is: the cheap may idle longer. */
-  private cheapness(type: MachineType, spot: boolean): number {
+  private cheapness(machine: Machine): number {
     const dearest = Math.max(...this.leader.types.map((t) => t.price));
-    const price = spot ? type.spotPrice : type.price;
+    const price = this.leader.priceOf(machine);
     return price <= 0 ? MOST_CHEAPNESS : Math.min(MOST_CHEAPNESS, Math.max(1, dearest / price));
   }
 
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -13,7 +13,7 @@
 import { newUnit, type Placement, type Unit } from "../queue/unit.js";
 import { aimS, type Settings } from "../settings/derived.js";
 import { newMachine, type Machine, type Order, type Report, type ReportedTask } from "../workers/machine.js";
-import { dropAll, newFindings, ordersFor, takeReport, type Findings, type ReportContext } from "../workers/reports.js";
+import { dropAll, newFindings, ordersFor, splitPiece, takeReport, type Findings, type ReportContext } from "../workers/reports.js";
 import type { Allotments } from "./allotments.js";
 import { addUnit, newPart, removeUnit, usageByTeam, type Part } from "./part.js";
 
@@ -290,9 +290,7 @@
   }
 
   private recordedDone(piece: string): boolean {
-    const slash = piece.lastIndexOf("/");
-    const ref = piece.slice(0, slash);
-    const task = Number(piece.slice(slash + 1));
+    const { ref, task } = splitPiece(piece);
     const job = this.mirror.get<JobRecord>(keys.job(ref));
     if (job === undefined) return false;
     if (job.v.end !== undefined) return true;
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -143,27 +143,20 @@
   const soft = slots
     .filter((slot) => allowed(spec, slot.machine) && slot.machine.fenced && slot.machine.up)
     .map((slot) => {
-      const free = { ...slot.free };
+      const roomy: Slot = { machine: slot.machine, free: { ...slot.free } };
       for (const placement of slot.machine.placements.values()) {
-        if (!stoppable(placement, unit)) continue;
-        free.cpus += placement.unit.spec.cpus;
-        free.gpus += placement.unit.spec.gpus;
-        free.ram += placement.unit.spec.ram;
+        if (stoppable(placement, unit)) occupy(roomy, placement.unit.spec, -1);
       }
-      return { machine: slot.machine, free };
+      return roomy;
     });
-  if (placeTasks(spec, tasks, soft, zonesInUse(part, unit), unit.failedOn, true).length < tasks) return false;
+  const chosen = placeTasks(spec, tasks, soft, zonesInUse(part, unit), unit.failedOn, true);
+  if (chosen.length < tasks) return false;
   // What it takes is not there for the next one.
-  for (const { machine, free } of soft) {
-    const slot = slots.find((s) => s.machine === machine)!;
-    const before = { ...slot.free };
-    const stopped = [...machine.placements.values()].filter((p) => stoppable(p, unit));
-    const all = stopped.reduce((sum, p) => sum + p.unit.spec.cpus, before.cpus);
-    const taken = all - free.cpus;
-    if (taken <= 0) continue;
-    const count = spec.cpus > 0 ? Math.round(taken / spec.cpus) : 1;
-    occupy(slot, { cpus: spec.cpus * count, gpus: spec.gpus * count, ram: spec.ram * count });
-  }
+  for (const { machine } of chosen)
+    occupy(
+      slots.find((slot) => slot.machine === machine)!,
+      spec,
+    );
   return true;
 }
 
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -43,18 +43,15 @@
 }
 
 function victimsOn(slot: Slot, unit: Unit, taken: ReadonlySet<Placement>, now: number): Placement[] | null {
-  const free = { ...slot.free };
+  const soft: Slot = { machine: slot.machine, free: { ...slot.free } };
   const victims: Placement[] = [];
   for (const placement of candidates(slot.machine, unit, now)) {
-    if (fits(unit.spec, free)) break;
+    if (fits(unit.spec, soft.free)) break;
     if (taken.has(placement)) continue;
     victims.push(placement);
-    const { cpus, gpus, ram } = placement.unit.spec;
-    free.cpus += cpus;
-    free.gpus += gpus;
-    free.ram += ram;
+    occupy(soft, placement.unit.spec, -1);
   }
-  return fits(unit.spec, free) ? victims : null;
+  return fits(unit.spec, soft.free) ? victims : null;
 }
 
 /** Which tasks to stop so that waiting work of higher priority can start. */
--- a/src/queue/unit.ts
+++ b/src/queue/unit.ts
@@ -90,8 +90,14 @@
   }
 }
 
-export function markDone(unit: Unit, task: number): void {
+function markDone(unit: Unit, task: number): void {
   unit.done.set(task);
   const at = unit.waiting.indexOf(task);
   if (at >= 0) unit.waiting.splice(at, 1);
 }
+
+/** A task completed; a gang completes together: when one of its tasks is done, all are. */
+export function markFinished(unit: Unit, task: number): void {
+  if (unit.spec.kind === "gang") for (let i = 0; i < unit.hi - unit.lo; i++) markDone(unit, i);
+  else markDone(unit, task);
+}
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -64,7 +64,6 @@
   deleting: boolean;
   draining: boolean;
   errors: Map<string, number>;
-  successes: number;
   avoidUntil: number;
   images: Set<string>;
   placements: Map<string, Placement>;
@@ -102,7 +101,6 @@
     deleting: false,
     draining: false,
     errors: new Map(),
-    successes: 0,
     avoidUntil: -Infinity,
     images: new Set(),
     placements: new Map(),
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -1,5 +1,5 @@
 import type { Part } from "../parts/part.js";
-import { markDone, pieceName, place, release, type Placement, type Unit } from "../queue/unit.js";
+import { markFinished, pieceName, place, release, type Placement, type Unit } from "../queue/unit.js";
 import { attemptKey, type Machine, type Order, type Report, type ReportedTask } from "./machine.js";
 
 /** What a report brought about, for the shell to act on. */
@@ -32,7 +32,7 @@
   return { changed: false, finished: new Set(), runs: [], began: [], broken: new Set() };
 }
 
-function splitPiece(piece: string): { ref: string; task: number } {
+export function splitPiece(piece: string): { ref: string; task: number } {
   const slash = piece.lastIndexOf("/");
   return { ref: piece.slice(0, slash), task: Number(piece.slice(slash + 1)) };
 }
@@ -73,9 +73,7 @@
     case "done":
       if (placement.runningAt !== null)
         findings.runs.push({ unit, seconds: (context.now - placement.runningAt) / 1000, host: machine.host });
-      // A gang completes together: when one of its tasks is done, all are.
-      if (unit.spec.kind === "gang") for (let i = 0; i < unit.hi - unit.lo; i++) markDone(unit, i);
-      else markDone(unit, placement.task);
+      markFinished(unit, placement.task);
       machine.errors.clear();
       findings.finished.add(unit);
       break;
@@ -170,8 +168,7 @@
         const { ref, task: number } = splitPiece(task.piece);
         const found = context.unitOf(ref, number);
         if (found !== null && !found.unit.done.has(found.task)) {
-          if (found.unit.spec.kind === "gang") for (let i = 0; i < found.unit.hi - found.unit.lo; i++) markDone(found.unit, i);
-          else markDone(found.unit, found.task);
+          markFinished(found.unit, found.task);
           findings.finished.add(found.unit);
         }
         continue;
