Machines of a rental share one record

Cause: a record written when a machine is rented, again when it is up and again when it goes: 1,100 writes for 550 machines at 25 a second before the first task could start everywhere, in front of submissions. A rental could also bring no more machines than a transaction has changes (14). Change: the rental's record holds what it brought, by host, with the address once a machine is up; machines that come up or go together share a write; a rental brings up to 50. Ruled out: a larger share of writes for rentals, which would only have moved the wait to submissions.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -4,6 +4,7 @@
 import { Ownership } from "./parts/ownership.js";
 import { Committer } from "./ledger/committer.js";
 import { Mirror } from "./ledger/mirror.js";
+import { Rentals } from "./ledger/rentals.js";
 import type { StateApi } from "./ledger/state-client.js";
 import { Exchange } from "./exchange/exchange.js";
 import type { CloudApi } from "./fleet/cloud-client.js";
@@ -27,6 +28,7 @@
 /** One controller: all slices, wired. */
 export class Controller {
   readonly mirror: Mirror;
+  readonly rentals: Rentals;
   readonly committer: Committer;
   readonly ownership: Ownership;
   readonly allotments: Allotments;
@@ -53,6 +55,7 @@
     // What a watch proves is as old as its beginning: two in a row must stay well
     // below the age at which this node counts itself cut off.
     this.mirror = new Mirror(around.state, clock, requests, { readGapMs: 3000 / (state.rps * share), blockMs: timing.contactMs / 4 });
+    this.rentals = new Rentals(this.mirror);
     this.committer = new Committer(
       around.state,
       this.mirror,
@@ -64,7 +67,7 @@
     );
     this.ownership = new Ownership(settings, life, around.state, this.mirror, this.committer, requests, scope);
     this.allotments = new Allotments(settings, this.mirror, this.committer, scope);
-    this.leader = new Leader(settings, life, this.mirror, this.committer, this.allotments, scope);
+    this.leader = new Leader(settings, life, this.mirror, this.rentals, this.committer, this.allotments, scope);
     this.dispatch = new Dispatch(this.leader, around.workers, scope);
     this.fleet = new Fleet(
       settings,
@@ -72,6 +75,7 @@
       this.leader,
       this.allotments,
       this.mirror,
+      this.rentals,
       this.committer,
       new Rate(clock, cloud.rps * share, Math.max(1, cloud.rps * share * 2)),
       scope,
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,6 +1,7 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, type HireRecord, type MachineRecord } from "../ledger/records.js";
+import type { Rentals } from "../ledger/rentals.js";
+import { keys, rentalCapacity, type RentalRecord } from "../ledger/records.js";
 import type { Allotments } from "../parts/allotments.js";
 import type { Leader } from "../parts/leader.js";
 import type { Part } from "../parts/part.js";
@@ -34,6 +35,7 @@
   private readonly hiring = new Set<string>();
   private readonly strangers = new Map<string, number>();
   private readonly plans = new WeakMap<Part, { at: number; plan: HirePlan }>();
+  private readonly gone = new Map<string, Set<string>>();
   private hires = 0;
   stats = { hired: 0, returned: 0, refused: 0, strays: 0 };
 
@@ -43,6 +45,7 @@
     private readonly leader: Leader,
     private readonly allotments: Allotments,
     private readonly mirror: Mirror,
+    private readonly rentals: Rentals,
     private readonly committer: Committer,
     private readonly rate: Rate,
     private readonly scope: Scope,
@@ -106,10 +109,10 @@
     for (const part of [...this.leader.parts.values()]) {
       // Rentals begun before, by us or by a former leader, are brought to an end first.
       let open = false;
-      for (const [key, entry] of this.mirror.rows<HireRecord>(keys.hires)) {
-        if (entry.v.part !== part.id) continue;
+      for (const [key, entry] of [...this.mirror.rows<RentalRecord>(keys.rentals)]) {
+        if (entry.v.part !== part.id || entry.v.hosts !== undefined) continue;
         open = true;
-        await this.carryOut(part, key.slice(keys.hires.length), entry.v);
+        await this.carryOut(part, key.slice(keys.rentals.length), entry.v);
       }
       if (open || part.phase !== "serving") continue;
       const plan = this.plan(part);
@@ -139,11 +142,11 @@
   }
 
   private async begin(part: Part, offer: Offer, count: number): Promise<void> {
-    // All that a rental brings is recorded in one transaction with its end.
-    const most = Math.min(MAX_HIRE, this.settings.platform.deployment.state.txn_ops - 2);
+    // All that a rental brings is recorded in one value.
+    const most = Math.min(MAX_HIRE, rentalCapacity(this.settings.platform.deployment.state.value_kb));
     const name = `${part.id}.${part.term}.${++this.hires}`;
-    const value: HireRecord = { part: part.id, ...offer, count: Math.min(count, most), at: this.scope.clock.wall() };
-    const key = keys.hire(name);
+    const value: RentalRecord = { part: part.id, ...offer, count: Math.min(count, most), at: this.scope.clock.wall() };
+    const key = keys.rental(name);
     const outcome = await this.committer.commit(
       "hire",
       () =>
@@ -161,7 +164,7 @@
     if (outcome === "done") await this.carryOut(part, name, value);
   }
 
-  private async carryOut(part: Part, name: string, hire: HireRecord): Promise<void> {
+  private async carryOut(part: Part, name: string, hire: RentalRecord): Promise<void> {
     if (this.hiring.has(name) || this.leader.silent()) return;
     this.hiring.add(name);
     try {
@@ -183,22 +186,21 @@
     }
   }
 
-  private async close(part: Part, name: string, hire: HireRecord, hosts: string[]): Promise<void> {
-    const key = keys.hire(name);
-    const record: MachineRecord = { part: part.id, type: hire.type, zone: hire.zone, spot: hire.spot, at: this.scope.clock.wall() };
+  private async close(part: Part, name: string, hire: RentalRecord, hosts: string[]): Promise<void> {
+    const key = keys.rental(name);
+    const at = this.scope.clock.wall();
     await this.committer.commit(
       "rented",
       () => {
-        const entry = this.mirror.get<HireRecord>(key);
-        if (entry === undefined || this.mirror.stamp(keys.owner(part.id)) !== part.term) return null;
-        const unknown = hosts.filter((host) => this.mirror.get(keys.machine(host)) === undefined);
+        const entry = this.mirror.get<RentalRecord>(key);
+        if (entry === undefined || entry.v.hosts !== undefined || this.mirror.stamp(keys.owner(part.id)) !== part.term) return null;
+        const value: RentalRecord = { ...hire, at, hosts: Object.fromEntries(hosts.map((host) => [host, ""])) };
         return {
           conditions: [
             { k: key, stamp: entry.stamp },
             { k: keys.owner(part.id), stamp: part.term },
-            ...unknown.map((host) => ({ k: keys.machine(host), stamp: 0 })),
           ],
-          apply: [{ remove: key }, ...unknown.map((host) => ({ write: keys.machine(host), v: record }))],
+          apply: [hosts.length === 0 ? { remove: key } : { write: key, v: value }],
         };
       },
       { first: true },
@@ -265,13 +267,36 @@
     this.stats.returned += machines.length;
     // Confirmed gone, with everything on them: their tasks may start again.
     for (const machine of machines) this.leader.forgetMachine(part, machine);
-    for (const machine of machines) {
-      const key = keys.machine(machine.host);
-      void this.committer.commit("returned", () => {
-        const stamp = this.mirror.stamp(key);
-        return stamp === 0 ? null : { conditions: [{ k: key, stamp }], apply: [{ remove: key }] };
-      });
+    for (const { host } of machines) this.strike(host);
+  }
+
+  /** Takes a machine that is gone off its rental's record; those that go together share a write. */
+  private strike(host: string): void {
+    const key = this.rentals.get(host)?.key;
+    if (key === undefined) return;
+    const open = this.gone.get(key);
+    if (open !== undefined) {
+      open.add(host);
+      return;
     }
+    const hosts = new Set([host]);
+    this.gone.set(key, hosts);
+    const draft = () => {
+      const entry = this.mirror.get<RentalRecord>(key);
+      const before = Object.entries(entry?.v.hosts ?? {});
+      const rest = before.filter(([name]) => !hosts.has(name));
+      if (entry === undefined || rest.length === before.length) return null;
+      return {
+        conditions: [{ k: key, stamp: entry.stamp }],
+        apply: [rest.length === 0 ? { remove: key } : { write: key, v: { ...entry.v, hosts: Object.fromEntries(rest) } }],
+      };
+    };
+    void this.committer.commit("returned", draft).then(async (outcome) => {
+      if (outcome === "shed") await sleep(this.scope.clock, this.settings.timing.reportMs);
+      this.gone.delete(key);
+      // Those that went while the write was under way.
+      for (const name of hosts) this.strike(name);
+    });
   }
 
   // ---- the machine list
@@ -289,8 +314,8 @@
         await this.paid();
         const page = await this.cloud.list(from, LIST_PAGE);
         for (const item of page.machines) {
-          const record = this.mirror.get<MachineRecord>(keys.machine(item.host));
-          const part = record === undefined ? undefined : this.leader.parts.get(record.v.part);
+          const record = this.rentals.get(item.host);
+          const part = record === undefined ? undefined : this.leader.parts.get(record.part);
           if (record === undefined) {
             unknown.add(item.host);
             const since = this.strangers.get(item.host) ?? now;
@@ -312,7 +337,7 @@
       for (const host of this.strangers.keys()) if (!unknown.has(host)) this.strangers.delete(host);
       if (strays.length > 0 && this.leader.parts.has(Math.min(...this.leader.parts.keys()))) {
         await this.mirror.fresh();
-        const nobodys = strays.filter((host) => this.mirror.get(keys.machine(host)) === undefined).slice(0, MAX_DELETE);
+        const nobodys = strays.filter((host) => this.rentals.get(host) === undefined).slice(0, MAX_DELETE);
         await this.paid();
         await this.cloud.remove(nobodys);
         this.stats.strays += nobodys.length;
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -49,25 +49,19 @@
   moved?: boolean;
 }
 
-/** Work may be given to a machine only once `up` is recorded with its address. */
-export interface MachineRecord {
-  part: number;
-  type: string;
-  zone: string;
-  spot: boolean;
-  at: number;
-  up?: boolean;
-  addr?: string;
-}
-
-/** A rental that was asked for, or is about to be. */
-export interface HireRecord {
+/**
+ * A rental that was asked for, or is about to be; with `hosts`, what it brought.
+ * A machine's value is its address once it is recorded as up, before that it is
+ * empty: work may be given to it only once it is up by its record.
+ */
+export interface RentalRecord {
   part: number;
   type: string;
   zone: string;
   spot: boolean;
   count: number;
   at: number;
+  hosts?: Record<string, string>;
 }
 
 /** Who leads a part. The stamp of this key is the term, hence the token. */
@@ -90,15 +84,13 @@
   root: "t/",
   jobs: "t/j/",
   slices: "t/s/",
-  machines: "t/m/",
-  hires: "t/h/",
+  rentals: "t/m/",
   owners: "t/o/",
   presence: "t/l/",
   allotments: "t/q/",
   job: (ref: string) => `t/j/${ref}`,
   slice: (ref: string, lo: number) => `t/s/${ref}/${String(lo).padStart(6, "0")}`,
-  machine: (host: string) => `t/m/${host}`,
-  hire: (name: string) => `t/h/${name}`,
+  rental: (name: string) => `t/m/${name}`,
   owner: (part: number) => `t/o/${part}`,
   alive: (node: string) => `t/l/${node}`,
   /** Team names may hold anything; keys may not hold spaces. */
@@ -109,3 +101,11 @@
 export function sliceCapacity(valueKb: number): number {
   return Math.floor((Math.min(valueKb, 32) * 1024) / 3) * 6;
 }
+
+/** Of a record's room, what one machine of a rental takes at most. */
+const HOST_BYTES = 96;
+
+/** How many machines one rental's record may hold. */
+export function rentalCapacity(valueKb: number): number {
+  return Math.max(1, Math.floor((Math.min(valueKb, 32) * 1024) / HOST_BYTES) - 2);
+}
--- /dev/null
+++ b/src/ledger/rentals.ts
@@ -0,0 +1,68 @@
+import { Subject } from "rxjs";
+import type { Mirror } from "./mirror.js";
+import { keys, type RentalRecord } from "./records.js";
+
+/** A machine as the records have it. */
+export interface RecordedMachine {
+  host: string;
+  /** Of the rental that brought it. */
+  key: string;
+  part: number;
+  type: string;
+  zone: string;
+  spot: boolean;
+  at: number;
+  /** Null: not up as far as is recorded, so it was never given work. */
+  addr: string | null;
+}
+
+/**
+ * Which machine stands in which rental's record. Machines of a rental share one:
+ * with a record each, a fleet of hundreds would take most of a minute of all the
+ * writes there are before its first task could start.
+ */
+export class Rentals {
+  /** Hosts whose record appeared, changed or went. */
+  readonly changes$ = new Subject<string>();
+  private readonly machines = new Map<string, RecordedMachine>();
+  private readonly byKey = new Map<string, Set<string>>();
+
+  constructor(private readonly mirror: Mirror) {
+    mirror.changes$.subscribe((key) => {
+      if (key.startsWith(keys.rentals)) this.review(key);
+    });
+  }
+
+  get(host: string): RecordedMachine | undefined {
+    return this.machines.get(host);
+  }
+
+  all(): Iterable<RecordedMachine> {
+    return this.machines.values();
+  }
+
+  private review(key: string): void {
+    const record = this.mirror.get<RentalRecord>(key)?.v;
+    const before = this.byKey.get(key);
+    const hosts = record?.hosts ?? {};
+    const changed: string[] = [];
+    for (const host of before ?? []) {
+      if (host in hosts) continue;
+      this.machines.delete(host);
+      changed.push(host);
+    }
+    if (record === undefined) this.byKey.delete(key);
+    else {
+      const { part, type, zone, spot, at } = record;
+      for (const [host, text] of Object.entries(hosts)) {
+        const addr = text === "" ? null : text;
+        const known = this.machines.get(host);
+        if (known !== undefined && known.key === key && known.addr === addr) continue;
+        this.machines.set(host, { host, key, part, type, zone, spot, at, addr });
+        changed.push(host);
+      }
+      this.byKey.set(key, new Set(Object.keys(hosts)));
+    }
+    for (const host of changed) this.changes$.next(host);
+  }
+}
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -2,7 +2,8 @@
 import type { MachineType } from "../fleet/cloud-client.js";
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, type JobRecord, type JobSpec, type MachineRecord, type OwnerRecord, type SliceRecord } from "../ledger/records.js";
+import type { Rentals } from "../ledger/rentals.js";
+import { keys, type JobRecord, type JobSpec, type OwnerRecord, type RentalRecord, type SliceRecord } from "../ledger/records.js";
 import { Bits } from "../platform/bits.js";
 import { sleep } from "../platform/clock.js";
 import type { Scope } from "../platform/scope.js";
@@ -48,6 +49,7 @@
     readonly settings: Settings,
     private readonly life: string,
     private readonly mirror: Mirror,
+    private readonly rentals: Rentals,
     private readonly committer: Committer,
     private readonly allotments: Allotments,
     private readonly scope: Scope,
@@ -57,6 +59,7 @@
 
   start(): void {
     this.scope.listen(this.mirror.changes$, (key) => this.onChange(key));
+    this.scope.listen(this.rentals.changes$, (host) => this.reviewMachine(host));
     this.scope.routine(
       "summary",
       () => this.settings.operators.exchange.sigma * 1000,
@@ -90,7 +93,6 @@
     }
     if (key.startsWith(keys.owners)) this.reviewOwner(Number(key.slice(keys.owners.length)));
     else if (key.startsWith(keys.jobs) || key.startsWith(keys.slices)) this.reviewWork(key);
-    else if (key.startsWith(keys.machines)) this.reviewMachine(key.slice(keys.machines.length));
     else if (key.startsWith(keys.allotments)) this.wake();
   }
 
@@ -131,7 +133,7 @@
     const part = newPart(id, term, this.now);
     this.parts.set(id, part);
     this.stats.takeovers++;
-    for (const key of this.mirror.rows<MachineRecord>(keys.machines).keys()) this.reviewMachine(key.slice(keys.machines.length));
+    for (const { host, part: of } of this.rentals.all()) if (of === id) this.reviewMachine(host);
     for (const key of this.mirror.rows(keys.jobs).keys()) this.reviewWork(key);
     for (const key of this.mirror.rows(keys.slices).keys()) this.reviewWork(key);
     this.scope.log.info({ part: id, term, machines: part.machines.size, queue: part.units.size }, "leading; fencing machines");
@@ -139,10 +141,10 @@
   }
 
   private reviewMachine(host: string): void {
-    const entry = this.mirror.get<MachineRecord>(keys.machine(host));
+    const entry = this.rentals.get(host);
     for (const part of this.parts.values()) {
       const machine = part.machines.get(host);
-      if (entry === undefined || entry.v.part !== part.id) {
+      if (entry === undefined || entry.part !== part.id) {
         if (machine !== undefined) {
           // Its record goes only after the cloud has confirmed that it is gone.
           this.forgetMachine(part, machine);
@@ -150,15 +152,18 @@
         continue;
       }
       if (machine !== undefined) {
-        if (entry.v.up === true) machine.up = true;
+        if (entry.addr !== null && !machine.up) {
+          machine.up = true;
+          machine.idleSince = this.now;
+        }
         continue;
       }
-      const type = this.types.find((t) => t.name === entry.v.type);
+      const type = this.types.find((t) => t.name === entry.type);
       const capacity = type === undefined ? { cpus: 0, gpus: 0, ram: 0 } : { cpus: type.cpus, gpus: type.gpus, ram: type.ram };
-      const wallAge = Math.max(0, this.scope.clock.wall() - entry.v.at);
-      const fresh = newMachine(host, entry.v.type, entry.v.zone, entry.v.spot, capacity, this.now - wallAge);
-      fresh.up = entry.v.up === true;
-      fresh.addr = entry.v.addr ?? null;
+      const wallAge = Math.max(0, this.scope.clock.wall() - entry.at);
+      const fresh = newMachine(host, entry.type, entry.zone, entry.spot, capacity, this.now - wallAge);
+      fresh.up = entry.addr !== null;
+      fresh.addr = entry.addr;
       fresh.idleSince = this.now;
       // A machine whose record never said `up` was never given work.
       fresh.fenced = !fresh.up;
@@ -312,14 +317,14 @@
   // ---- reports
 
   partOfMachine(host: string): Part | null {
-    const record = this.mirror.get<MachineRecord>(keys.machine(host))?.v;
+    const record = this.rentals.get(host);
     return record === undefined ? null : (this.parts.get(record.part) ?? null);
   }
 
   /** A worker's own report, and what to answer. */
   onReport(report: Report): ReportAnswer {
     if (!this.mirror.loaded || this.silent()) return { kind: "silent" };
-    const record = this.mirror.get<MachineRecord>(keys.machine(report.host))?.v;
+    const record = this.rentals.get(report.host);
     if (record === undefined) return { kind: "elsewhere", boss: null };
     const part = this.parts.get(record.part);
     if (part === undefined) return { kind: "elsewhere", boss: this.mirror.get<OwnerRecord>(keys.owner(record.part))?.v.owner ?? null };
@@ -405,25 +410,43 @@
     return unit;
   }
 
+  /** Machines of a rental that have come up are recorded together, in one write. */
   private recordUp(part: Part, machine: Machine): void {
-    if (this.upPending.has(machine.host) || machine.addr === null) return;
-    this.upPending.add(machine.host);
-    const key = keys.machine(machine.host);
-    const addr = machine.addr;
+    const key = this.rentals.get(machine.host)?.key;
+    if (key === undefined || machine.addr === null || this.upPending.has(key)) return;
+    this.upPending.add(key);
+    const came = (host: string): string | null => {
+      const known = part.machines.get(host);
+      return known === undefined || known.heardAt === -Infinity || known.deleting ? null : known.addr;
+    };
     const draft = () => {
-      const entry = this.mirror.get<MachineRecord>(key);
-      if (entry === undefined || entry.v.up === true || this.mirror.stamp(keys.owner(part.id)) !== part.term) return null;
+      const entry = this.mirror.get<RentalRecord>(key);
+      if (entry?.v.hosts === undefined || this.mirror.stamp(keys.owner(part.id)) !== part.term) return null;
+      const hosts = { ...entry.v.hosts };
+      let more = 0;
+      for (const [host, addr] of Object.entries(hosts)) {
+        const at = addr === "" ? came(host) : null;
+        if (at === null) continue;
+        hosts[host] = at;
+        more++;
+      }
+      if (more === 0) return null;
       return {
         conditions: [
           { k: key, stamp: entry.stamp },
           { k: keys.owner(part.id), stamp: part.term },
         ],
-        apply: [{ write: key, v: { ...entry.v, up: true, addr } }],
+        apply: [{ write: key, v: { ...entry.v, hosts } satisfies RentalRecord }],
       };
     };
-    void this.committer.commit("up", draft, { first: true }).then(() => {
-      this.upPending.delete(machine.host);
-      machine.idleSince = this.now;
+    void this.committer.commit("up", draft, { first: true }).then((outcome) => {
+      this.upPending.delete(key);
+      if (outcome === "shed") return;
+      // Those that came up while the write was under way.
+      const hosts = this.mirror.get<RentalRecord>(key)?.v.hosts ?? {};
+      const late = Object.entries(hosts).find(([host, addr]) => addr === "" && came(host) !== null);
+      const next = late === undefined ? undefined : part.machines.get(late[0]);
+      if (next !== undefined && this.parts.get(part.id) === part) this.recordUp(part, next);
       this.wake();
     });
   }
--- a/src/status/view.ts
+++ b/src/status/view.ts
@@ -1,22 +1,22 @@
 import type { Controller } from "../controller.js";
-import { keys, type AllotmentRecord, type MachineRecord } from "../ledger/records.js";
+import { keys, type AllotmentRecord } from "../ledger/records.js";
 import { estimateWaits, utilization } from "../queue/estimate.js";
 
 /** The cluster as this node sees it, for the person on call. */
 export function clusterView(controller: Controller): Record<string, unknown> {
-  const { settings, mirror, ownership, leader, exchange } = controller;
-  const machines = [...mirror.rows<MachineRecord>(keys.machines).values()];
+  const { settings, mirror, rentals, ownership, leader, exchange } = controller;
+  const machines = [...rentals.all()];
   const parts = settings.nodes.map((_, id) => {
     const part = leader.parts.get(id);
     const owner = ownership.owner(id);
-    const recorded = machines.filter((m) => m.v.part === id);
+    const recorded = machines.filter((m) => m.part === id);
     const base = {
       part: id,
       owner: owner?.owner ?? null,
       ownerPresent: owner !== undefined && ownership.alive(owner.owner),
       term: mirror.stamp(keys.owner(id)),
       machines: recorded.length,
-      machinesUp: recorded.filter((m) => m.v.up === true).length,
+      machinesUp: recorded.filter((m) => m.addr !== null).length,
     };
     if (part === undefined) return base;
     const waits = [...estimateWaits(part, exchange.estimateContext()).values()].filter(Number.isFinite);
