--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -246,9 +246,25 @@
 
   // ---- done-sets
 
-  /** Records what is done; nothing is told, and nothing cleared, before that. */
+  /**
+   * Records what is done; nothing is told, and nothing cleared, before that. A
+   * slice that is complete is recorded at once. Progress short of that is only
+   * insurance against losing this node, and workers keep their results until they
+   * are cleared, so it is recorded once a lease: a write for every few tasks would
+   * crowd out submissions.
+   */
   private record(part: Part, unit: Unit): void {
     if (unit.committing) return;
+    if (unit.done.full) return this.recordNow(part, unit);
+    if (unit.recordDue) return;
+    unit.recordDue = true;
+    this.scope.clock.after(this.settings.timing.leaseMs, () => {
+      unit.recordDue = false;
+      if (!unit.committing && !unit.ended && this.parts.get(part.id) === part) this.recordNow(part, unit);
+    });
+  }
+
+  private recordNow(part: Part, unit: Unit): void {
     unit.committing = true;
     const { ref } = unit.spec;
     const isJob = unit.lo === 0;
--- a/src/queue/unit.ts
+++ b/src/queue/unit.ts
@@ -44,6 +44,8 @@
   failedOn: Map<string, number>;
   ended: boolean;
   committing: boolean;
+  /** Its progress will be recorded before long. */
+  recordDue: boolean;
   /** Alike for tasks that fit the same room, whatever their job. */
   shape: string;
 }
@@ -77,6 +79,7 @@
     failedOn: new Map(),
     ended: false,
     committing: false,
+    recordDue: false,
     shape: shapeOf(spec),
   };
 }
