--- a/src/intake/server.ts
+++ b/src/intake/server.ts
@@ -1,6 +1,4 @@
 import express, { type ErrorRequestHandler, type Express, type Response as HttpResponse } from "express";
-import { decodeReport, encodeOrders } from "../workers/codec.js";
-import type { Leader } from "../parts/leader.js";
 import type { Response } from "./jobs.js";
 import type { Relay } from "./relay.js";
 
@@ -8,7 +6,6 @@
 
 export interface FrontDoor {
   relay: Relay;
-  leader: Leader;
   /** Null: this node can take requests; otherwise why it cannot. */
   unready: () => string | null;
   count: (status: number) => void;
@@ -16,7 +13,7 @@
   metrics: () => Promise<string>;
 }
 
-/** The HTTP face for users, workers and health checks. */
+/** The HTTP face for users and health checks. */
 export function buildApp(door: FrontDoor): Express {
   const app = express();
   app.disable("x-powered-by");
@@ -30,14 +27,6 @@
     res.status(answer.status).json(answer.body);
   };
 
-  app.post("/v1/report", body, (req, res) => {
-    const report = decodeReport(req.body);
-    if (report === null) return send(res, { status: 400, body: { error: "not a report" } });
-    const answer = door.leader.onReport(report);
-    if (answer.kind === "silent") return send(res, { status: 503, body: { error: "not entitled to lead" }, retryAfterS: 1 });
-    if (answer.kind === "elsewhere") return send(res, { status: 421, body: answer.boss === null ? {} : { boss: answer.boss } });
-    send(res, { status: 200, body: { baton: answer.token, orders: encodeOrders(answer.orders) } });
-  });
   app.get("/v2/runs/:ref", async (req, res) => send(res, await door.relay.answer("poll", req.params.ref)));
   app.post("/v2/runs", body, async (req, res) => send(res, await door.relay.answer("submit", req.body)));
   app.post("/v2/runs/:ref/cancel", async (req, res) => send(res, await door.relay.answer("cancel", req.params.ref)));
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -11,6 +11,7 @@
 import { Metrics } from "./status/metrics.js";
 import { clusterView } from "./status/view.js";
 import type { Settings } from "./settings/derived.js";
+import { REPORT_PATH, serveReport, type ReportDoor } from "./workers/report-endpoint.js";
 import { HttpWorkers } from "./workers/worker-client.js";
 
 /** Runs one controller until the process is ended. */
@@ -34,13 +35,19 @@
   scope.listen(controller.leader.began$, ({ klass, waitS }) => metrics.countWait(klass, waitS));
   const app = buildApp({
     relay: controller.relay,
-    leader: controller.leader,
     unready: () => controller.unready(),
     count: (status) => metrics.countAnswer(status),
     view: () => clusterView(controller),
     metrics: () => metrics.text(),
   });
-  const server = createServer(app);
+  const reports: ReportDoor = {
+    onReport: (report) => controller.leader.onReport(report),
+    count: (status) => metrics.countAnswer(status),
+  };
+  const server = createServer((req, res) => {
+    if (req.url === REPORT_PATH && req.method === "POST") serveReport(reports, req, res);
+    else app(req, res);
+  });
   // Peers, workers and clients close connections; we keep them, within the quota.
   server.keepAliveTimeout = 0;
   server.maxConnections = Math.floor(deployment.quota.sockets * 0.8);
