Serve guarantees by order and by stops; rent no dear machines for patient work

Change: jobs that fit their team's guarantee together with its earlier ones come first in their priority, and work that other teams run beyond theirs may be stopped for them; peers tell what their parts run with their health.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from "node:crypto";
 import { Allotments } from "./parts/allotments.js";
+import { Guarantees } from "./parts/guarantees.js";
 import { Leader } from "./parts/leader.js";
 import { Ownership } from "./parts/ownership.js";
 import { Committer } from "./ledger/committer.js";
@@ -32,6 +33,7 @@
   readonly committer: Committer;
   readonly ownership: Ownership;
   readonly allotments: Allotments;
+  readonly guarantees: Guarantees;
   readonly leader: Leader;
   readonly dispatch: Dispatch;
   readonly fleet: Fleet;
@@ -67,7 +69,8 @@
     );
     this.ownership = new Ownership(settings, life, around.state, this.mirror, this.committer, requests, scope);
     this.allotments = new Allotments(settings, this.mirror, this.committer, scope);
-    this.leader = new Leader(settings, life, this.mirror, this.rentals, this.committer, this.allotments, scope);
+    this.guarantees = new Guarantees(settings, this.mirror, scope);
+    this.leader = new Leader(settings, life, this.mirror, this.rentals, this.committer, this.allotments, this.guarantees, scope);
     this.dispatch = new Dispatch(this.leader, around.workers, scope);
     this.fleet = new Fleet(
       settings,
@@ -91,19 +94,21 @@
     this.mirror.start(this.scope);
     this.ownership.start();
     this.allotments.start();
+    this.guarantees.start();
     this.fleet.start();
     this.exchange.start();
     this.relay.start();
     this.scope.listen(this.around.peers.incoming$, ({ from, message }) => {
-      if ("Health" in message && message.Health.stateOk) this.peersWithState.set(from, this.scope.clock.now());
+      if (!("Health" in message)) return;
+      if (message.Health.stateOk) this.peersWithState.set(from, this.scope.clock.now());
+      this.guarantees.hear(from, message.Health.use);
     });
     this.scope.routine(
       "health",
       () => this.settings.timing.reportMs / 4,
       () => {
-        for (const node of this.settings.nodes) {
-          if (node !== this.settings.self) this.around.peers.send(node, { Health: { stateOk: this.hasState() } });
-        }
+        const message = { Health: { stateOk: this.hasState(), use: this.leader.use() } };
+        for (const node of this.settings.nodes) if (node !== this.settings.self) this.around.peers.send(node, message);
       },
     );
   }
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -80,6 +80,8 @@
       silentMs: this.settings.timing.reportMs * 2,
       order: this.leader.order(),
       history: this.leader.history,
+      guaranteed: (unit) => this.leader.guarantees.within(unit.spec.ref),
+      excess: this.leader.guarantees.excess(this.leader.use()),
       preemptAfterMs: this.tuning.phi * PREEMPT_AFTER_PHI * 1000,
       bootMs: (machine) => (this.leader.types.find((t) => t.name === machine.type)?.bootS ?? 0) * 1000,
     };
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -9,7 +9,7 @@
 import { sleep } from "../platform/clock.js";
 import type { Rate } from "../platform/rate.js";
 import type { Scope } from "../platform/scope.js";
-import type { Settings } from "../settings/derived.js";
+import { isPatient, type Settings } from "../settings/derived.js";
 import type { Machine } from "../workers/machine.js";
 import type { CloudApi, Offer } from "./cloud-client.js";
 import { offerName, planHires, type HirePlan } from "./plan.js";
@@ -138,6 +138,7 @@
       types: this.leader.types,
       open: (offer) => this.open(offer),
       allotment: (team) => this.allotments.held(part.id, team),
+      dearest: (klass) => (isPatient(this.settings.platform, klass) ? this.settings.operators.fleet.dearest_for_patient : Infinity),
     });
   }
 
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -15,6 +15,8 @@
   /** Offers the cloud refused lately are left out for a while. */
   open: (offer: Offer) => boolean;
   allotment: (team: string) => Usage;
+  /** Most that a class may cost, as a multiple of its cheapest offer, taken or not. */
+  dearest: (klass: string) => number;
 }
 
 export function offerName(offer: Offer): string {
@@ -22,10 +24,19 @@
 }
 
 /** Copies of a task that one empty machine of the type holds. */
-export function perMachine(type: MachineType, unit: Unit): number {
-  const { spec } = unit;
-  const by = (all: number, one: number): number => (one > 0 ? Math.floor((all + 1e-6) / one) : Infinity);
-  return Math.min(by(type.cpus, spec.cpus), by(type.gpus, spec.gpus), by(type.ram, spec.ram), unit.waiting.length);
+export function perMachine(type: MachineType, spec: JobSpec): number {
+  return copies(spec, type);
+}
+
+/** Per task, on a machine full of them, by the cheapest offer the job may use. */
+function leastCost(unit: Unit, types: MachineType[]): number {
+  let least = Infinity;
+  for (const type of types) {
+    const holds = perMachine(type, unit.spec);
+    if (holds < 1 || (unit.spec.types !== null && !unit.spec.types.includes(type.name))) continue;
+    least = Math.min(least, (unit.spec.spot ? Math.min(type.spotPrice, type.price) : type.price) / holds);
+  }
+  return least;
 }
 
 /**
@@ -135,14 +146,17 @@
   more: (offer: Offer) => boolean = () => true,
 ): Choice | null {
   let best: Choice | null = null;
+  const bound = context.dearest(unit.spec.klass) * leastCost(unit, context.types);
   for (const type of context.types) {
-    const holds = Math.min(perMachine(type, unit), left);
+    const holds = Math.min(perMachine(type, unit.spec), left);
     if (holds < 1) continue;
     for (const zone of type.zones) {
       for (const spot of unit.spec.spot ? [true, false] : [false]) {
         const offer = { type: type.name, zone, spot };
         if (!allowed(task, offer) || !context.open(offer) || !more(offer)) continue;
-        const cost = (spot ? type.spotPrice : type.price) / holds;
+        const price = spot ? type.spotPrice : type.price;
+        if (price / perMachine(type, unit.spec) > bound) continue;
+        const cost = price / holds;
         if (best === null || cost < best.cost) best = { type, offer, holds, cost };
       }
     }
--- /dev/null
+++ b/src/parts/guarantees.ts
@@ -0,0 +1,111 @@
+import type { Mirror } from "../ledger/mirror.js";
+import { keys, type JobRecord, type JobSpec } from "../ledger/records.js";
+import type { Scope } from "../platform/scope.js";
+import type { Settings } from "../settings/derived.js";
+import type { TeamSettings } from "../settings/platform-file.js";
+import type { Usage } from "./part.js";
+
+export interface TeamUse extends Usage {
+  team: string;
+}
+
+/** What all of a job's tasks would use at once. */
+function demand(spec: JobSpec): Usage {
+  return { cpus: spec.cpus * spec.tasks, gpus: spec.gpus * spec.tasks };
+}
+
+/** Does the job use what its team has a guarantee of? A guarantee of 0 is none. */
+function covered(spec: JobSpec, team: TeamSettings): boolean {
+  return (team.cpus > 0 && spec.cpus > 0) || (team.gpus > 0 && spec.gpus > 0);
+}
+
+function fitsIn(sum: Usage, team: TeamSettings): boolean {
+  const slack = 1e-6;
+  return (team.cpus <= 0 || sum.cpus <= team.cpus + slack) && (team.gpus <= 0 || sum.gpus <= team.gpus + slack);
+}
+
+/**
+ * Jobs that fit into their team's guarantee together with the team's earlier
+ * unfinished ones. Once granted it stays: what came later does not take it away.
+ */
+export function grant(jobs: Iterable<JobRecord>, teams: TeamSettings[], granted: Set<string>): Set<string> {
+  const byTeam = new Map<string, JobRecord[]>();
+  for (const job of jobs) {
+    if (job.end !== undefined) continue;
+    const list = byTeam.get(job.spec.team);
+    if (list === undefined) byTeam.set(job.spec.team, [job]);
+    else list.push(job);
+  }
+  const result = new Set<string>();
+  for (const team of teams) {
+    const sum = { cpus: 0, gpus: 0 };
+    for (const { spec } of (byTeam.get(team.name) ?? []).sort((a, b) => a.at - b.at)) {
+      if (!covered(spec, team)) continue;
+      const { cpus, gpus } = demand(spec);
+      sum.cpus += cpus;
+      sum.gpus += gpus;
+      if (granted.has(spec.ref) || fitsIn(sum, team)) result.add(spec.ref);
+    }
+  }
+  return result;
+}
+
+/**
+ * Which work lies within a guarantee, and which teams run beyond theirs, over
+ * all parts: peers say now and then what their parts run. A peer that has not been
+ * heard of lately counts as running nothing, so too little is stopped, never too much.
+ */
+export class Guarantees {
+  private granted = new Set<string>();
+  private readonly reported = new Map<string, { use: TeamUse[]; at: number }>();
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly mirror: Mirror,
+    private readonly scope: Scope,
+  ) {}
+
+  start(): void {
+    if (this.teams.every((team) => team.cpus <= 0 && team.gpus <= 0)) return;
+    this.scope.routine(
+      "guarantees",
+      () => this.settings.timing.reportMs / 4,
+      () => this.review(),
+    );
+  }
+
+  private get teams(): TeamSettings[] {
+    return this.settings.platform.deployment.teams;
+  }
+
+  private review(): void {
+    const jobs = [...this.mirror.rows<JobRecord>(keys.jobs).values()].map((entry) => entry.v);
+    this.granted = grant(jobs, this.teams, this.granted);
+  }
+
+  within(ref: string): boolean {
+    return this.granted.has(ref);
+  }
+
+  hear(node: string, use: TeamUse[]): void {
+    this.reported.set(node, { use, at: this.scope.clock.now() });
+  }
+
+  /** What teams run beyond their guarantee, with what this node itself runs given. */
+  excess(own: TeamUse[]): Map<string, Usage> {
+    const now = this.scope.clock.now();
+    const total = new Map<string, Usage>();
+    const add = ({ team, cpus, gpus }: TeamUse): void => {
+      const sum = total.get(team) ?? { cpus: 0, gpus: 0 };
+      total.set(team, { cpus: sum.cpus + cpus, gpus: sum.gpus + gpus });
+    };
+    own.forEach(add);
+    for (const { use, at } of this.reported.values()) if (now - at < this.settings.timing.reportMs) use.forEach(add);
+    const beyond = new Map<string, Usage>();
+    for (const { name, cpus, gpus } of this.teams) {
+      const used = total.get(name);
+      if (used !== undefined) beyond.set(name, { cpus: Math.max(0, used.cpus - cpus), gpus: Math.max(0, used.gpus - gpus) });
+    }
+    return beyond;
+  }
+}
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -16,6 +16,7 @@
 import { newMachine, type Machine, type Order, type Report, type ReportedTask } from "../workers/machine.js";
 import { dropAll, newFindings, ordersFor, splitPiece, takeReport, type Findings, type ReportContext } from "../workers/reports.js";
 import type { Allotments } from "./allotments.js";
+import type { Guarantees, TeamUse } from "./guarantees.js";
 import { addUnit, newPart, removeUnit, usageByTeam, type Part } from "./part.js";
 
 const MAX_ORDERS = 250;
@@ -52,6 +53,7 @@
     private readonly rentals: Rentals,
     private readonly committer: Committer,
     private readonly allotments: Allotments,
+    readonly guarantees: Guarantees,
     private readonly scope: Scope,
   ) {
     this.history = new RunHistory(settings.operators.queue.guesses);
@@ -627,13 +629,30 @@
       nowWall: this.scope.clock.wall(),
       finishS: (klass) => aimS(this.settings.platform, "finished", klass),
       expectS: (unit) => this.history.expectS(unit.spec),
+      guaranteed: (unit) => this.guarantees.within(unit.spec.ref),
     });
   }
 
+  /** What each team uses in the parts this node leads. */
+  use(): TeamUse[] {
+    const sum = new Map<string, TeamUse>();
+    for (const part of this.parts.values()) {
+      for (const [team, { cpus, gpus }] of part.usage) {
+        const entry = sum.get(team) ?? { team, cpus: 0, gpus: 0 };
+        sum.set(team, { team, cpus: entry.cpus + cpus, gpus: entry.gpus + gpus });
+      }
+    }
+    return [...sum.values()];
+  }
+
   private pass(): void {
     if (this.silent() || this.types.length === 0) return;
     const { backfill } = this.settings.operators.queue;
     const order = this.order();
+    const claims = {
+      guaranteed: (unit: Unit) => this.guarantees.within(unit.spec.ref),
+      excess: this.guarantees.excess(this.use()),
+    };
     for (const part of this.parts.values()) {
       const context = {
         now: this.now,
@@ -644,7 +663,7 @@
       };
       const result = runPass(part, context);
       const patienceMs = this.settings.operators.exchange.phi * PREEMPT_AFTER_PHI * 1000;
-      for (const placement of choosePreemptions(part, { ...context, patienceMs })) {
+      for (const placement of choosePreemptions(part, { ...context, ...claims, patienceMs })) {
         const { spec } = placement.unit;
         placement.stop = { graceS: spec.checkpointS > 0 ? spec.flushS : 0 };
         this.stats.preemptions++;
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -1,7 +1,7 @@
 import avsc from "avsc";
 
 /** What controllers say to each other. The first frame each way is a hello. */
-export const PROTOCOL_VERSION = 1;
+export const PROTOCOL_VERSION = 2;
 
 export interface Hello {
   version: number;
@@ -33,6 +33,11 @@
   nowCpus: number;
   nowGpus: number;
 }
+/** Whether a node reaches the state service, and what teams use in its parts. */
+export interface Health {
+  stateOk: boolean;
+  use: { team: string; cpus: number; gpus: number }[];
+}
 /** A user's request passed on, its body as JSON text. */
 export interface RelayAsk {
   id: number;
@@ -51,11 +56,11 @@
   | { Query: Query }
   | { Answer: Answer }
   | { Want: Want }
-  | { Health: { stateOk: boolean } }
+  | { Health: Health }
   | { Relay: RelayAsk }
   | { Relayed: RelayAnswer };
 
-const record = (name: string, fields: [string, string][]) => ({
+const record = (name: string, fields: [string, string | object][]) => ({
   type: "record",
   name,
   fields: fields.map(([n, t]) => ({ name: n, type: t })),
@@ -98,7 +103,20 @@
             ["nowCpus", "double"],
             ["nowGpus", "double"],
           ]),
-          record("Health", [["stateOk", "boolean"]]),
+          record("Health", [
+            ["stateOk", "boolean"],
+            [
+              "use",
+              {
+                type: "array",
+                items: record("TeamUse", [
+                  ["team", "string"],
+                  ["cpus", "double"],
+                  ["gpus", "double"],
+                ]),
+              },
+            ],
+          ]),
           record("Relay", [
             ["id", "long"],
             ["kind", "string"],
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -1,8 +1,9 @@
 import type { JobSpec } from "../ledger/records.js";
-import type { Part } from "../parts/part.js";
+import type { Part, Usage } from "../parts/part.js";
 import { freeRoom, usable, type Capacity, type Machine } from "../workers/machine.js";
 import { inOrder, rank, type LocalOrder } from "./order.js";
 import { allowed, copies, type Slot } from "./placement.js";
+import { beyond } from "./preempt.js";
 import { ready } from "./pass.js";
 import type { Unit } from "./unit.js";
 
@@ -38,6 +39,8 @@
   bootMs: (machine: Machine) => number;
   /** After this long, lower work is stopped for a job that waits. */
   preemptAfterMs: number;
+  guaranteed: (unit: Unit) => boolean;
+  excess: ReadonlyMap<string, Usage>;
 }
 
 /** Room that comes free; `times` tasks of the same size at once. */
@@ -187,7 +190,7 @@
     return true;
   };
   left = left.filter((entry) => !settle(entry, now, null));
-  const soft = new SoftRooms(part, rooms);
+  const soft = new SoftRooms(part, rooms, context);
   left = left.filter((entry) => {
     if (!soft.makeRoom(entry.unit, entry.tasks)) return true;
     waits.set(entry.unit.key, context.preemptAfterMs);
@@ -216,12 +219,13 @@
  * nothing may be stopped for them, and there they stay put.
  */
 class SoftRooms {
-  private readonly byRank = new Map<number, { room: Room; free: Capacity }[]>();
+  private readonly lists = new Map<string, { room: Room; free: Capacity }[]>();
   private readonly lowest: number;
 
   constructor(
     part: Part,
     private readonly rooms: Room[],
+    private readonly context: EstimateContext,
   ) {
     let lowest = -1;
     for (const unit of part.units.values()) {
@@ -230,19 +234,22 @@
     this.lowest = lowest;
   }
 
-  private at(level: number): { room: Room; free: Capacity }[] {
-    let list = this.byRank.get(level);
+  private for(unit: Unit, level: number, claims: boolean): { room: Room; free: Capacity }[] {
+    const name = `${level}|${claims ? unit.spec.team : ""}`;
+    let list = this.lists.get(name);
     if (list === undefined) {
       list = [];
       for (const room of this.rooms) {
         if (!room.machine.fenced || !room.machine.up) continue;
         const free = { ...room.free };
-        for (const { unit } of room.machine.placements.values()) {
-          if (unit.spec.kind !== "gang" && rank(unit.spec.urgency) > level) shift(free, unit.spec, 1);
+        for (const placement of room.machine.placements.values()) {
+          const { spec } = placement.unit;
+          const lower = spec.kind !== "gang" && rank(spec.urgency) > level;
+          if (lower || (claims && beyond(placement, unit, this.context.excess))) shift(free, spec, 1);
         }
         list.push({ room, free });
       }
-      this.byRank.set(level, list);
+      this.lists.set(name, list);
     }
     return list;
   }
@@ -251,10 +258,11 @@
   makeRoom(unit: Unit, tasks: number): boolean {
     const { spec } = unit;
     const level = rank(spec.urgency);
-    if (spec.oneZone || spec.spread || level >= this.lowest) return false;
+    const claims = this.context.guaranteed(unit);
+    if (spec.oneZone || spec.spread || (!claims && level >= this.lowest)) return false;
     const chosen: { free: Capacity; n: number }[] = [];
     let missing = tasks;
-    for (const { room, free } of this.at(level)) {
+    for (const { room, free } of this.for(unit, level, claims)) {
       if (missing === 0) break;
       const n = allowed(spec, room.machine) ? Math.min(missing, copies(spec, free)) : 0;
       if (n > 0) chosen.push({ free, n });
--- a/src/queue/order.ts
+++ b/src/queue/order.ts
@@ -22,8 +22,13 @@
   /** Within how many seconds jobs of a class should be done; infinite: no such aim. */
   finishS: (klass: string) => number;
   expectS: (unit: Unit) => number;
+  /** Within its team's guarantee: such work need not wait for other teams. */
+  guaranteed: (unit: Unit) => boolean;
 }
 
+/** Longer than anything waits: what is guaranteed comes before the rest of its priority. */
+const AGES_MS = 1e9;
+
 /** Tasks of an array that may be expected to run at the same time. */
 const USUAL_WIDTH = 4;
 
@@ -37,6 +42,7 @@
   return {
     rank: (unit) => (context.mode === "arrival" ? 0 : rank(unit.spec.urgency)),
     arrival: (unit) => {
+      if (context.mode !== "arrival" && context.guaranteed(unit)) return unit.submittedWall - AGES_MS;
       const within = context.mode === "aims" ? context.finishS(unit.spec.klass) : Infinity;
       if (!Number.isFinite(within)) return unit.submittedWall;
       const run = context.expectS(unit);
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -1,4 +1,4 @@
-import { tasksWithin, usageByTeam, type Part } from "../parts/part.js";
+import { tasksWithin, usageByTeam, type Part, type Usage } from "../parts/part.js";
 import type { Machine } from "../workers/machine.js";
 import { inOrder, rank } from "./order.js";
 import { ready, usableSlots, zonesInUse, type PassContext } from "./pass.js";
@@ -6,6 +6,9 @@
 import type { Placement, Unit } from "./unit.js";
 
 export interface PreemptContext extends PassContext {
+  guaranteed: (unit: Unit) => boolean;
+  /** What each team runs beyond its guarantee, over all parts. */
+  excess: Map<string, Usage>;
   /** How long a job waits, so that the exchange may find it room elsewhere, before others are stopped for it. */
   patienceMs: number;
 }
@@ -49,6 +52,15 @@
   return placement.unit.spec.kind !== "gang" && rank(placement.unit.spec.urgency) > rank(unit.spec.urgency);
 }
 
+/** Another team runs it beyond its own guarantee, so it may be stopped to give a team its guarantee. */
+export function beyond(placement: Placement, unit: Unit, excess: ReadonlyMap<string, Usage>): boolean {
+  const { spec } = placement.unit;
+  if (spec.kind === "gang" || spec.team === unit.spec.team) return false;
+  const over = excess.get(spec.team);
+  const slack = 1e-6;
+  return over !== undefined && (spec.gpus > 0 ? over.gpus + slack >= spec.gpus : over.cpus + slack >= spec.cpus);
+}
+
 /** Of phi: time for the exchange to find room elsewhere before tasks are stopped. */
 export const PREEMPT_AFTER_PHI = 0.2;
 
@@ -57,12 +69,18 @@
  * priority only, never a gang's (all of it would go). The newest jobs first, as
  * they are the likeliest to be beyond their team's guarantee, then the least work lost.
  */
-function victimsOn(slot: Slot, unit: Unit, taken: ReadonlySet<Placement>, candidates: Candidates): Placement[] | null {
+function victimsOn(
+  slot: Slot,
+  unit: Unit,
+  taken: ReadonlySet<Placement>,
+  candidates: Candidates,
+  mayStop: (placement: Placement) => boolean,
+): Placement[] | null {
   const soft: Slot = { machine: slot.machine, free: { ...slot.free } };
   const victims: Placement[] = [];
   for (const placement of candidates.on(slot.machine)) {
     if (fits(unit.spec, soft.free)) break;
-    if (taken.has(placement) || !stoppable(placement, unit)) continue;
+    if (taken.has(placement) || !mayStop(placement)) continue;
     victims.push(placement);
     occupy(soft, placement.unit.spec, -1);
   }
@@ -83,6 +101,13 @@
     for (const placement of slot.machine.placements.values()) if (placement.stop !== null) occupy(slot, placement.unit.spec, -1);
   }
   const usage = usageByTeam(part);
+  const excess = new Map([...context.excess].map(([team, { cpus, gpus }]) => [team, { cpus, gpus }]));
+  const spend = ({ unit: { spec } }: Placement, sign: 1 | -1): void => {
+    const over = excess.get(spec.team);
+    if (over === undefined) return;
+    over.cpus -= sign * spec.cpus;
+    over.gpus -= sign * spec.gpus;
+  };
   const candidates = new Candidates(now);
   const hopeless = new Map<string, number>();
   for (const unit of inOrder(waiting, context.order)) {
@@ -93,7 +118,9 @@
     const isGang = spec.kind === "gang";
     const wanted = Math.min(unit.waiting.length, room);
     // Room is only taken during a pass: what did not fit one job does not fit its like.
-    const shape = `${spec.urgency}|${unit.shape}`;
+    const claims = context.guaranteed(unit);
+    const shape = `${spec.urgency}|${claims ? spec.team : ""}|${unit.shape}`;
+    const mayStop = (p: Placement): boolean => stoppable(p, unit) || (claims && beyond(p, unit, excess));
     const least = isGang ? wanted : 1;
     if (least >= (hopeless.get(shape) ?? Infinity)) continue;
     if (wanted === 0 || (isGang && wanted < unit.waiting.length)) continue;
@@ -105,7 +132,7 @@
       let best: { slot: Slot; victims: Placement[]; cost: number } | null = null;
       for (const slot of slots) {
         if (!allowed(spec, slot.machine) || unit.failedOn.has(slot.machine.host)) continue;
-        const victims = victimsOn(slot, unit, taken, candidates);
+        const victims = victimsOn(slot, unit, taken, candidates, mayStop);
         if (victims === null || victims.length === 0) continue;
         const cost = victims.reduce((sum, p) => sum + 1 + lostS(p, now), 0) + (slot.machine.images.has(spec.image) ? 0 : spec.guessS);
         if (best === null || cost < best.cost) best = { slot, victims, cost };
@@ -113,6 +140,7 @@
       if (best === null) break;
       for (const victim of best.victims) {
         taken.add(victim);
+        spend(victim, 1);
         occupy(best.slot, victim.unit.spec, -1);
       }
       occupy(best.slot, spec);
@@ -124,6 +152,7 @@
         occupy(slot, spec, -1);
         for (const victim of victims) {
           taken.delete(victim);
+          spend(victim, -1);
           occupy(slot, victim.unit.spec);
         }
       }
