Test that work per event does not grow with machines; give out room of one moment together

The estimate let the first small job take from under a gang what came free at the same moment; found by the new test. growth.test.ts counts looks at machines, not seconds.

--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -169,8 +169,8 @@
     const i = index.get(room)!;
     for (const other of left) other.review(i);
   };
-  /** Places what it can of the entry; `only`: the one machine that has changed. */
-  const settle = (entry: Entry, at: number, only: Room | null): boolean => {
+  /** Places what it can of the entry; `only`: the machines that have changed. */
+  const settle = (entry: Entry, at: number, only: Iterable<Room>): boolean => {
     if (entry.unit.spec.kind === "gang") {
       const zone = entry.gangZone();
       if (zone === null) return false;
@@ -179,7 +179,7 @@
         if (n > 0 && (zone < 0 || rooms[i]!.zone === zone)) take(rooms[i]!, entry, n, at);
       }
     } else {
-      for (const room of only === null ? rooms : [only]) {
+      for (const room of only) {
         const n = entry.holds(room);
         if (n > 0) take(room, entry, n, at);
         if (entry.tasks === 0) break;
@@ -189,19 +189,25 @@
     waits.set(entry.unit.key, Math.max(0, at - now));
     return true;
   };
-  left = left.filter((entry) => !settle(entry, now, null));
+  left = left.filter((entry) => !settle(entry, now, rooms));
   const soft = new SoftRooms(part, rooms, context);
   left = left.filter((entry) => {
     if (!soft.makeRoom(entry.unit, entry.tasks)) return true;
     waits.set(entry.unit.key, context.preemptAfterMs);
     return false;
   });
-  for (let i = 0; i < MAX_EVENTS && i < events.length && left.length > 0; i++) {
-    const event = events[i]!;
-    shift(event.room.free, event.freed, event.times);
-    const at = index.get(event.room)!;
-    for (const entry of left) entry.review(at);
-    left = left.filter((entry) => !settle(entry, event.at, event.room));
+  for (let i = 0; i < MAX_EVENTS && i < events.length && left.length > 0;) {
+    const { at } = events[i]!;
+    const changed = new Set<Room>();
+    // What comes free at one moment is given out together, or the first small job
+    // would take from under a gang what is there for all of it.
+    for (; i < events.length && events[i]!.at === at; i++) {
+      const { room, freed, times } = events[i]!;
+      shift(room.free, freed, times);
+      changed.add(room);
+    }
+    for (const entry of left) for (const room of changed) entry.review(index.get(room)!);
+    left = left.filter((entry) => !settle(entry, at, changed));
   }
   for (const entry of left) waits.set(entry.unit.key, Infinity);
   return waits;
--- /dev/null
+++ b/test/growth.test.ts
@@ -0,0 +1,208 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { planHires } from "../src/fleet/plan.js";
+import type { MachineType } from "../src/fleet/cloud-client.js";
+import type { JobSpec } from "../src/ledger/records.js";
+import { addUnit, newPart, nextAttempt, usageByTeam, type Part } from "../src/parts/part.js";
+import { Bits } from "../src/platform/bits.js";
+import { estimateWaits, RunHistory, type EstimateContext } from "../src/queue/estimate.js";
+import { localOrder } from "../src/queue/order.js";
+import { runPass } from "../src/queue/pass.js";
+import { newUnit, type Unit } from "../src/queue/unit.js";
+import { newMachine, type Capacity, type Machine } from "../src/workers/machine.js";
+import { newFindings, takeReport } from "../src/workers/reports.js";
+
+// Hundreds of machines report every few seconds to controllers with a fifth of a
+// core. These tests count how often machines are looked at, so that work which
+// grows with machines times tasks shows up the same way on every computer.
+
+const NOW = 1000;
+
+class CountingMap<K, V> extends Map<K, V> {
+  walks = 0;
+  override values(): MapIterator<V> {
+    this.walks++;
+    return super.values();
+  }
+  override [Symbol.iterator](): MapIterator<[K, V]> {
+    this.walks++;
+    return super[Symbol.iterator]();
+  }
+}
+
+function specOf(change: Partial<JobSpec>): JobSpec {
+  return {
+    ref: "run-000001",
+    klass: "c",
+    team: "ops",
+    kind: "array",
+    urgency: "normal",
+    tasks: 1,
+    cpus: 1,
+    gpus: 0,
+    ram: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: false,
+    image: "img",
+    imageGb: 1,
+    guessS: 60,
+    checkpointS: 0,
+    flushS: 0,
+    deadlineS: null,
+    ...change,
+  };
+}
+
+/** A part of `n` machines that counts each look at a machine's images, taken once a judgement. */
+function partOf(n: number, capacity: Capacity): { part: Part; looks: () => number } {
+  const part = newPart(0, 5, 0);
+  part.phase = "serving";
+  let looks = 0;
+  for (let i = 0; i < n; i++) {
+    const machine: Machine = newMachine(`i-${i}`, "m", "a", false, capacity, 0);
+    Object.assign(machine, { up: true, fenced: true, heardAt: NOW, session: 1, token: 5, books: part.usage });
+    const images = new Set<string>();
+    Object.defineProperty(machine, "images", {
+      get: () => {
+        looks++;
+        return images;
+      },
+    });
+    part.machines.set(machine.host, machine);
+  }
+  return { part, looks: () => looks };
+}
+
+function queueUp(part: Part, spec: JobSpec): Unit {
+  const unit = newUnit(`t/j/${spec.ref}`, spec, 0, spec.tasks, new Bits(spec.tasks), 0, 0);
+  addUnit(part, unit);
+  return unit;
+}
+
+const order = localOrder({
+  mode: "urgency",
+  nowWall: NOW,
+  finishS: () => Infinity,
+  expectS: () => 60,
+  guaranteed: () => false,
+});
+const unlimited = (): { cpus: number; gpus: number } => ({ cpus: Infinity, gpus: Infinity });
+
+test("placing an array looks at machines once for each machine filled, not once for each task", () => {
+  const { part, looks } = partOf(100, { cpus: 8, gpus: 0, ram: 64 });
+  const unit = queueUp(part, specOf({ tasks: 800 }));
+  runPass(part, { now: NOW, silentMs: 5000, order, backfill: true, allotment: unlimited });
+  assert.equal(unit.waiting.length, 0);
+  assert.ok(looks() <= 100 * 100, `${looks()} looks`);
+  assert.equal(usageByTeam(part).get("ops")?.cpus, 800);
+});
+
+test("a report costs no walk over the part's machines", () => {
+  const { part } = partOf(1, { cpus: 8, gpus: 0, ram: 64 });
+  const unit = queueUp(part, specOf({ tasks: 4 }));
+  const machines = new CountingMap(part.machines);
+  machines.walks = 0;
+  part.machines = machines;
+  const machine = machines.get("i-0")!;
+  const tasks = [0, 1, 2, 3].map((i) => ({
+    piece: `run-000001/${i}`,
+    attempt: nextAttempt(part),
+    state: "running" as const,
+    cause: null,
+    saved: false,
+  }));
+  const report = { host: "i-0", addr: "a", type: "m", zone: "a", spot: false, session: 1, token: 5, noticeS: null };
+  const context = {
+    now: NOW,
+    viaReport: true,
+    leaseMs: 18_000,
+    coolMs: 2500,
+    unitOf: (_ref: string, task: number) => ({ unit, task }),
+    strangerOf: () => unit,
+  };
+  assert.ok(takeReport(part, machine, { ...report, seq: 1, tasks }, context, newFindings()));
+  assert.equal(part.usage.get("ops")?.cpus, 4);
+  // Cleared tasks are listed no longer: what they used is free again.
+  assert.ok(takeReport(part, machine, { ...report, seq: 2, tasks: [] }, context, newFindings()));
+  assert.equal(part.usage.get("ops")?.cpus, 0);
+  assert.deepEqual(machine.used, { cpus: 0, gpus: 0, ram: 0 });
+  assert.equal(machines.walks, 0);
+});
+
+test("waits of gangs and arrays on a full part follow from when its tasks end", () => {
+  const { part } = partOf(10, { cpus: 16, gpus: 0, ram: 64 });
+  queueUp(part, specOf({ tasks: 10, cpus: 15 }));
+  runPass(part, { now: NOW, silentMs: 5000, order, backfill: true, allotment: unlimited });
+  const gang = queueUp(part, specOf({ ref: "run-000002", kind: "gang", tasks: 6, cpus: 15 }));
+  const array = queueUp(part, specOf({ ref: "run-000003", tasks: 8, cpus: 15 }));
+  const large = queueUp(part, specOf({ ref: "run-000004", kind: "gang", tasks: 12, cpus: 15 }));
+  const context: EstimateContext = {
+    now: NOW,
+    silentMs: 5000,
+    order,
+    history: new RunHistory("owner"),
+    bootMs: () => 0,
+    preemptAfterMs: 1000,
+    guaranteed: () => false,
+    excess: new Map(),
+  };
+  const waits = estimateWaits(part, context);
+  // Nothing has been seen to run yet: the first ten end after a whole run, the rest after another.
+  assert.equal(waits.get(gang.key), 60_000);
+  assert.equal(waits.get(array.key), 120_000);
+  assert.equal(waits.get(large.key), Infinity);
+});
+
+const type: MachineType = {
+  name: "m",
+  cpus: 16,
+  gpus: 0,
+  ram: 64,
+  cacheGb: 1,
+  fetchGbPerS: 1,
+  price: 4,
+  spotPrice: 1,
+  bootS: 10,
+  zones: ["a", "b"],
+};
+
+function planFor(part: Part, change: { closed?: (offer: { zone: string; spot: boolean }) => boolean; dearest?: number }) {
+  return planHires(part, {
+    now: NOW,
+    silentMs: 5000,
+    order,
+    types: [type],
+    open: (offer) => !(change.closed?.(offer) ?? false),
+    allotment: unlimited,
+    dearest: () => change.dearest ?? Infinity,
+  });
+}
+
+test("a long queue asks for no more machines of a kind than one call can rent", () => {
+  const { part } = partOf(0, type);
+  queueUp(part, specOf({ tasks: 5000, cpus: 15 }));
+  const plan = planFor(part, {});
+  assert.deepEqual([...plan.wanted.values()].map((w) => w.count).sort(), [50, 50]);
+});
+
+test("a gang bound to one zone is given machines in one zone only", () => {
+  const { part } = partOf(1, type);
+  queueUp(part, specOf({ kind: "gang", tasks: 3, cpus: 15, oneZone: true }));
+  const plan = planFor(part, {});
+  assert.deepEqual(
+    [...plan.wanted.values()].map((w) => [w.offer.zone, w.count]),
+    [["a", 2]],
+  );
+});
+
+test("work that may wait for cheap machines rents no dear ones", () => {
+  const { part } = partOf(0, type);
+  queueUp(part, specOf({ tasks: 4, cpus: 15, spot: true }));
+  const noSpot = (offer: { spot: boolean }): boolean => offer.spot;
+  assert.equal(planFor(part, { closed: noSpot, dearest: 2 }).wanted.size, 0);
+  assert.equal(planFor(part, { closed: noSpot }).wanted.size, 1);
+  assert.equal(planFor(part, { dearest: 2 }).wanted.size, 1);
+});
