Return idle machines that another part was refused

Change: a refusal is told to peers, who return what lies idle of that kind after one report; the pause after refusals is at most half a lease.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -81,6 +81,7 @@
       this.rentals,
       this.committer,
       new Rate(clock, cloud.rps * share, Math.max(1, cloud.rps * share * 2)),
+      around.peers,
       scope,
     );
     this.exchange = new Exchange(settings, this.leader, this.ownership, this.allotments, this.mirror, this.committer, around.peers, scope);
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -7,6 +7,7 @@
 import type { Part } from "../parts/part.js";
 import { NoReply } from "../platform/http.js";
 import { sleep } from "../platform/clock.js";
+import type { PeerApi } from "../peers/links.js";
 import type { Rate } from "../platform/rate.js";
 import type { Scope } from "../platform/scope.js";
 import { isPatient, type Settings } from "../settings/derived.js";
@@ -20,6 +21,9 @@
 /** However cheap it is, a machine nobody uses goes back in the end. */
 const MOST_CHEAPNESS = 8;
 
+/** Reports for which an offer counts as sought: then whoever seeks it has asked again. */
+const SOUGHT_REPORTS = 3;
+
 interface Refusal {
   until: number;
   pauseMs: number;
@@ -35,6 +39,8 @@
   private readonly hiring = new Set<string>();
   private readonly strangers = new Map<string, number>();
   private readonly plans = new WeakMap<Part, { at: number; plan: HirePlan }>();
+  /** Offers that other parts were refused, until when they count as sought. */
+  private readonly sought = new Map<string, number>();
   private readonly gone = new Map<string, Set<string>>();
   private hires = 0;
   stats = { hired: 0, returned: 0, refused: 0, strays: 0 };
@@ -48,11 +54,15 @@
     private readonly rentals: Rentals,
     private readonly committer: Committer,
     private readonly rate: Rate,
+    private readonly peers: PeerApi,
     private readonly scope: Scope,
   ) {}
 
   start(): void {
     const { reportMs, leaseMs } = this.settings.timing;
+    this.scope.listen(this.peers.incoming$, ({ message }) => {
+      if ("Sought" in message) this.sought.set(offerName(message.Sought), this.scope.clock.now() + reportMs * SOUGHT_REPORTS);
+    });
     const lag = this.settings.platform.deployment.cloud.list_lag_s * 1000;
     this.scope.routine(
       "types",
@@ -98,8 +108,11 @@
     this.stats.refused++;
     const name = offerName(offer);
     const { reportMs, leaseMs } = this.settings.timing;
-    const pauseMs = Math.min(leaseMs * 2, (this.refused.get(name)?.pauseMs ?? reportMs) * 2);
+    const pauseMs = Math.min(leaseMs / 2, (this.refused.get(name)?.pauseMs ?? reportMs / 2) * 2);
     this.refused.set(name, { until: this.scope.clock.now() + pauseMs, pauseMs });
+    // The cloud has no more: another part may hold some that lie idle.
+    const { type, zone, spot } = offer;
+    for (const node of this.settings.nodes) if (node !== this.settings.self) this.peers.send(node, { Sought: { type, zone, spot } });
   }
 
   // ---- renting
@@ -226,6 +239,9 @@
     if (machine.noticeAt !== null) return "notice";
     // A gang's machines come up one by one: those that wait for the rest are not idle.
     if (needed.has(machine.host)) return null;
+    // Work waits in another part for a machine like this one, and there are no more to rent.
+    const sought = now < (this.sought.get(offerName(machine)) ?? -Infinity);
+    if (sought && part.phase === "serving" && now - machine.idleSince > this.settings.timing.reportMs) return "sought by another part";
     if (part.phase === "serving" && now - machine.idleSince > bootMs * idle_per_boot * this.cheapness(machine)) return "idle";
     return null;
   }
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -33,6 +33,12 @@
   nowCpus: number;
   nowGpus: number;
 }
+/** The cloud has no more of an offer that work waits for. */
+export interface Sought {
+  type: string;
+  zone: string;
+  spot: boolean;
+}
 /** Whether a node reaches the state service, and what teams use in its parts. */
 export interface Health {
   stateOk: boolean;
@@ -57,6 +63,7 @@
   | { Answer: Answer }
   | { Want: Want }
   | { Health: Health }
+  | { Sought: Sought }
   | { Relay: RelayAsk }
   | { Relayed: RelayAnswer };
 
@@ -117,6 +124,11 @@
               },
             ],
           ]),
+          record("Sought", [
+            ["type", "string"],
+            ["zone", "string"],
+            ["spot", "boolean"],
+          ]),
           record("Relay", [
             ["id", "long"],
             ["kind", "string"],
