Keep work without aims off dear machines that nothing else needs

Tried: such work takes room on dear machines only beside other work. Expected: price down, waits as before.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -10,7 +10,7 @@
 import type { PeerApi } from "../peers/links.js";
 import type { Rate } from "../platform/rate.js";
 import type { Scope } from "../platform/scope.js";
-import { isPatient, type Settings } from "../settings/derived.js";
+import type { Settings } from "../settings/derived.js";
 import type { Machine } from "../workers/machine.js";
 import type { CloudApi, Offer } from "./cloud-client.js";
 import { offerName, planHires, type HirePlan } from "./plan.js";
@@ -151,7 +151,8 @@
       types: this.leader.types,
       open: (offer) => this.open(offer),
       allotment: (team) => this.allotments.held(part.id, team),
-      dearest: (klass) => (isPatient(this.settings.platform, klass) ? this.settings.operators.fleet.dearest_for_patient : Infinity),
+      tooDear: (spec, offer) => this.leader.prices.tooDear(spec, offer),
+      slotsFor: (unit, slots) => this.leader.prices.slotsFor(unit, slots),
     });
   }
 
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -6,6 +6,7 @@
 import type { Unit } from "../queue/unit.js";
 import { freeRoom, newMachine } from "../workers/machine.js";
 import type { MachineType, Offer } from "./cloud-client.js";
+import { perMachine } from "./price.js";
 
 export interface PlanContext {
   now: number;
@@ -15,30 +16,16 @@
   /** Offers the cloud refused lately are left out for a while. */
   open: (offer: Offer) => boolean;
   allotment: (team: string) => Usage;
-  /** Most that a class may cost, as a multiple of its cheapest offer, taken or not. */
-  dearest: (klass: string) => number;
+  /** Whether an offer costs more than the job's class may. */
+  tooDear: (spec: JobSpec, offer: Offer) => boolean;
+  /** Of the slots, those that the job may use. */
+  slotsFor: (unit: Unit, slots: Slot[]) => Slot[];
 }
 
 export function offerName(offer: Offer): string {
   return `${offer.type}/${offer.zone}/${offer.spot ? "spot" : "ordinary"}`;
 }
 
-/** Copies of a task that one empty machine of the type holds. */
-export function perMachine(type: MachineType, spec: JobSpec): number {
-  return copies(spec, type);
-}
-
-/** Per task, on a machine full of them, by the cheapest offer the job may use. */
-function leastCost(unit: Unit, types: MachineType[]): number {
-  let least = Infinity;
-  for (const type of types) {
-    const holds = perMachine(type, unit.spec);
-    if (holds < 1 || (unit.spec.types !== null && !unit.spec.types.includes(type.name))) continue;
-    least = Math.min(least, (unit.spec.spot ? Math.min(type.spotPrice, type.price) : type.price) / holds);
-  }
-  return least;
-}
-
 /**
  * What to rent for the queue: waiting tasks are laid onto free and booting
  * room first; the rest opens imagined machines of the offer that is cheapest
@@ -77,7 +64,7 @@
     if (unit.failedOn.size > 1) continue;
     usage.set(spec.team, { cpus: used.cpus + spec.cpus * left, gpus: used.gpus + spec.gpus * left });
     const layOut = (task: JobSpec, count: number): number => {
-      const chosen = placeTasks(task, count, slots, zonesInUse(part, unit), NOBODY, false);
+      const chosen = placeTasks(task, count, context.slotsFor(unit, slots), zonesInUse(part, unit), NOBODY, false);
       for (const slot of chosen) needed.add(slot.machine.host);
       return chosen.length;
     };
@@ -146,7 +133,6 @@
   more: (offer: Offer) => boolean = () => true,
 ): Choice | null {
   let best: Choice | null = null;
-  const bound = context.dearest(unit.spec.klass) * leastCost(unit, context.types);
   for (const type of context.types) {
     const holds = Math.min(perMachine(type, unit.spec), left);
     if (holds < 1) continue;
@@ -154,9 +140,8 @@
       for (const spot of unit.spec.spot ? [true, false] : [false]) {
         const offer = { type: type.name, zone, spot };
         if (!allowed(task, offer) || !context.open(offer) || !more(offer)) continue;
-        const price = spot ? type.spotPrice : type.price;
-        if (price / perMachine(type, unit.spec) > bound) continue;
-        const cost = price / holds;
+        if (context.tooDear(unit.spec, offer)) continue;
+        const cost = (spot ? type.spotPrice : type.price) / holds;
         if (best === null || cost < best.cost) best = { type, offer, holds, cost };
       }
     }
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -11,6 +11,8 @@
   backfill: boolean;
   /** Of each team's limit, what this part holds at present. */
   allotment: (team: string) => Usage;
+  /** Of the slots, those that the job may use. */
+  slotsFor: (unit: Unit, slots: Slot[]) => Slot[];
 }
 
 export interface PassResult {
@@ -66,7 +68,7 @@
   const lacking = new Map<string, { unit: Unit; missing: number }>();
   for (const unit of inOrder(waiting, context.order)) {
     const { spec } = unit;
-    const shape = `${spec.kind === "gang" ? unit.waiting.length : 1}|${unit.shape}`;
+    const shape = `${spec.klass}|${spec.kind === "gang" ? unit.waiting.length : 1}|${unit.shape}`;
     const used = usage.get(spec.team) ?? { cpus: 0, gpus: 0 };
     const allotment = context.allotment(spec.team);
     const room = tasksWithin(spec, { cpus: allotment.cpus - used.cpus, gpus: allotment.gpus - used.gpus });
@@ -84,7 +86,7 @@
     // machines would be rented for this work either.
     if (hopeless.has(shape) && unit.failedOn.size === 0) continue;
     if (within === 0 || (isGang && within < wanted)) continue;
-    const chosen = placeTasks(spec, within, slots, zonesInUse(part, unit), unit.failedOn, isGang);
+    const chosen = placeTasks(spec, within, context.slotsFor(unit, slots), zonesInUse(part, unit), unit.failedOn, isGang);
     if (chosen.length < within) {
       hopeless.add(shape);
       if (chosen.length === 0) {
@@ -115,7 +117,8 @@
   }
   for (const [team, { unit, missing }] of lacking) {
     const count = unit.spec.kind === "gang" ? unit.waiting.length : Math.min(PROBE, missing);
-    const fit = placeTasks(unit.spec, count, slots, zonesInUse(part, unit), unit.failedOn, unit.spec.kind === "gang").length;
+    const open = context.slotsFor(unit, slots);
+    const fit = placeTasks(unit.spec, count, open, zonesInUse(part, unit), unit.failedOn, unit.spec.kind === "gang").length;
     result.short.get(team)!.now = { cpus: fit * unit.spec.cpus, gpus: fit * unit.spec.gpus };
   }
   return result;
--- a/test/growth.test.ts
+++ b/test/growth.test.ts
@@ -1,12 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { planHires } from "../src/fleet/plan.js";
+import { Prices } from "../src/fleet/price.js";
 import type { MachineType } from "../src/fleet/cloud-client.js";
 import type { JobSpec } from "../src/ledger/records.js";
 import { addUnit, newPart, nextAttempt, usageByTeam, type Part } from "../src/parts/part.js";
 import { Bits } from "../src/platform/bits.js";
 import { estimateWaits, RunHistory, type EstimateContext } from "../src/queue/estimate.js";
 import { localOrder } from "../src/queue/order.js";
+import type { Slot } from "../src/queue/placement.js";
 import { runPass } from "../src/queue/pass.js";
 import { newUnit, type Unit } from "../src/queue/unit.js";
 import { newMachine, type Capacity, type Machine } from "../src/workers/machine.js";
@@ -89,12 +91,13 @@
   expectS: () => 60,
   guaranteed: () => false,
 });
+const all = (_unit: Unit, slots: Slot[]): Slot[] => slots;
 const unlimited = (): { cpus: number; gpus: number } => ({ cpus: Infinity, gpus: Infinity });
 
 test("placing an array looks at machines once for each machine filled, not once for each task", () => {
   const { part, looks } = partOf(100, { cpus: 8, gpus: 0, ram: 64 });
   const unit = queueUp(part, specOf({ tasks: 800 }));
-  runPass(part, { now: NOW, silentMs: 5000, order, backfill: true, allotment: unlimited });
+  runPass(part, { now: NOW, silentMs: 5000, order, backfill: true, allotment: unlimited, slotsFor: all });
   assert.equal(unit.waiting.length, 0);
   assert.ok(looks() <= 100 * 100, `${looks()} looks`);
   assert.equal(usageByTeam(part).get("ops")?.cpus, 800);
@@ -135,7 +138,7 @@
 test("waits of gangs and arrays on a full part follow from when its tasks end", () => {
   const { part } = partOf(10, { cpus: 16, gpus: 0, ram: 64 });
   queueUp(part, specOf({ tasks: 10, cpus: 15 }));
-  runPass(part, { now: NOW, silentMs: 5000, order, backfill: true, allotment: unlimited });
+  runPass(part, { now: NOW, silentMs: 5000, order, backfill: true, allotment: unlimited, slotsFor: all });
   const gang = queueUp(part, specOf({ ref: "run-000002", kind: "gang", tasks: 6, cpus: 15 }));
   const array = queueUp(part, specOf({ ref: "run-000003", tasks: 8, cpus: 15 }));
   const large = queueUp(part, specOf({ ref: "run-000004", kind: "gang", tasks: 12, cpus: 15 }));
@@ -170,6 +173,8 @@
 };
 
 function planFor(part: Part, change: { closed?: (offer: { zone: string; spot: boolean }) => boolean; dearest?: number }) {
+  const prices = new Prices(() => change.dearest !== undefined, change.dearest ?? Infinity);
+  prices.setTypes([type]);
   return planHires(part, {
     now: NOW,
     silentMs: 5000,
@@ -177,7 +182,8 @@
     types: [type],
     open: (offer) => !(change.closed?.(offer) ?? false),
     allotment: unlimited,
-    dearest: () => change.dearest ?? Infinity,
+    tooDear: (spec, offer) => prices.tooDear(spec, offer),
+    slotsFor: (unit, slots) => prices.slotsFor(unit, slots),
   });
 }
 
