--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -20,14 +20,27 @@
 }
 
 function parse(text: string): { plan: Plan; steps: Step[] } {
-  const plan: Plan = { seed: 1, teams: [], types: [], capacity: new Map() };
+  const plan: Plan = {
+    seed: 1,
+    teams: [],
+    types: [],
+    capacity: new Map(),
+    controllers: 3,
+    state: { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 },
+  };
   const steps: Step[] = [];
   for (const raw of text.split("\n")) {
     const line = raw.replace(/#.*$/, "").trim();
     if (line === "") continue;
     const words = line.split(/\s+/);
     if (words[0] === "seed") plan.seed = Number(words[1]);
-    else if (words[0] === "given" && words[1] === "team") {
+    else if (words[0] === "given" && words[1] === "controllers") plan.controllers = Number(words[2]);
+    else if (words[0] === "given" && words[1] === "state") {
+      const o = options(words.slice(2));
+      plan.state.writeRps = Number(o.get("writes") ?? plan.state.writeRps);
+      plan.state.valueKb = Number(o.get("value-kb") ?? plan.state.valueKb);
+      plan.state.txnOps = Number(o.get("changes") ?? plan.state.txnOps);
+    } else if (words[0] === "given" && words[1] === "team") {
       const o = options(words.slice(3));
       plan.teams.push({
         name: words[2]!,
@@ -126,6 +139,7 @@
     await act(world, step, failures);
   }
   await world.clock.run((steps.at(-1)?.at ?? 0) + 100);
+  failures.push(...world.state.oversized.map((what) => `no state service would take this: ${what}`));
   for (const name of world.nodes.keys()) world.killNode(name);
   return { world, failures };
 }
@@ -257,6 +271,11 @@
     const counts = [...world.nodes.values()].map((n) => n.controller?.leader.parts.size ?? 0);
     return check(what === "balanced" ? counts.every((n) => n === 1) : counts.reduce((x, y) => x + y, 0) === Number(what), counts.join());
   }
+  if (what === "placing") {
+    // SUBJECT placing: its leader has accounted for all machines and places work again.
+    const phases = [...world.nodes.values()].flatMap((n) => [...(n.controller?.leader.parts.values() ?? [])].map((p) => p.phase));
+    return check(phases.length === world.nodes.size && phases.every((p) => p === "serving"), phases.join());
+  }
   if (what === "runs") {
     const n = [...world.workers.values()]
       .flatMap((w) => [...w.tasks.values()])
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -1,6 +1,7 @@
 import { NoReply } from "../../src/platform/http.js";
 import {
   LostPermit,
+  OverRate,
   type Condition,
   type FollowResult,
   type Op,
@@ -28,6 +29,31 @@
   late: { count: number; ms: number };
 }
 
+export interface StateLimits {
+  rps: number;
+  writeRps: number;
+  valueKb: number;
+  txnOps: number;
+}
+
+/** A rate with bursts of one second's worth. */
+class Bucket {
+  private level: number;
+  private at = 0;
+
+  constructor(private readonly perSecond: number) {
+    this.level = perSecond;
+  }
+
+  take(now: number, count: number): boolean {
+    this.level = Math.min(this.perSecond, this.level + ((now - this.at) / 1000) * this.perSecond);
+    this.at = now;
+    if (this.level < count) return false;
+    this.level -= count;
+    return true;
+  }
+}
+
 /** A stand-in for the state service: consistent, with leases, watches and bad weather. */
 export class StateService {
   private ledger = 0;
@@ -40,10 +66,18 @@
   outage = false;
   readonly weather = new Map<string, Weather>();
 
+  /** Transactions that no service would take: too many changes, or too large a value. */
+  readonly oversized: string[] = [];
+  private readonly requests: Bucket;
+  private readonly writes: Bucket;
+
   constructor(
     private readonly clock: VirtualClock,
     private readonly latencyMs: () => number,
+    private readonly limits: StateLimits,
   ) {
+    this.requests = new Bucket(limits.rps);
+    this.writes = new Bucket(limits.writeRps);
     const tick = (): void => {
       if (!this.outage) {
         for (const [permit, lease] of [...this.permits]) {
@@ -100,6 +134,14 @@
     return this.log.filter((e) => e.stamp > from && ("write" in e ? e.write : e.remove).startsWith(prefix));
   }
 
+  private measure(conditions: Condition[], apply: Op[]): void {
+    const { valueKb, txnOps } = this.limits;
+    const sizes = apply.map((op) => ("write" in op ? JSON.stringify(op.v).length : 0));
+    const whole = JSON.stringify({ if: conditions, apply }).length;
+    if (apply.length > txnOps || conditions.length > 4 * txnOps || whole > 64 * 1024 || sizes.some((size) => size > valueKb * 1024))
+      this.oversized.push(`${apply.length} changes, ${conditions.length} conditions, ${whole} bytes, ${sizes.join()}`);
+  }
+
   private execute(conditions: Condition[], apply: Op[]): TxnResult | "no lease" {
     const failed = conditions.filter((c) => (this.data.get(c.k)?.stamp ?? 0) !== c.stamp).map((c) => c.k);
     if (failed.length > 0) return { ok: false, failed, ledger: this.ledger };
@@ -110,10 +152,12 @@
   /** The service as one node reaches it. */
   client(node: string, alive: () => boolean): StateApi {
     const { clock } = this;
-    const call = <T>(run: () => T, timeoutMs = 2000): Promise<T> =>
+    const call = <T>(run: () => T, writes = 0, timeoutMs = 2000): Promise<T> =>
       new Promise((resolve, reject) => {
         const weather = this.weatherOf(node);
         clock.after(this.latencyMs(), () => {
+          if (!this.requests.take(clock.now(), 1) || !this.writes.take(clock.now(), writes))
+            return clock.after(this.latencyMs(), () => reject(new OverRate()));
           if (this.outage || weather.refused) return clock.after(this.latencyMs(), () => reject(new NoReply("refused", "503")));
           if (weather.cut) {
             this.held.push({ node, run: () => void run() });
@@ -130,13 +174,14 @@
     return {
       txn: async (conditions, apply) => {
         const weather = this.weatherOf(node);
+        this.measure(conditions, apply);
         if (weather.late.count > 0) {
           weather.late.count--;
           clock.after(weather.late.ms, () => this.execute(conditions, apply));
           await new Promise<void>((resolve) => clock.after(2000, resolve));
           throw new NoReply("unanswered", "held");
         }
-        const result = await call(() => this.execute(conditions, apply));
+        const result = await call(() => this.execute(conditions, apply), apply.length);
         if (weather.loseReplies > 0) {
           weather.loseReplies--;
           await new Promise<void>((resolve) => clock.after(2000, resolve));
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -16,7 +16,7 @@
 import type { CommandReply } from "../../src/workers/worker-client.js";
 import type { Happening, Limits } from "./checker.js";
 import { CloudService } from "./cloud-service.js";
-import { StateService } from "./state-service.js";
+import { StateService, type StateLimits } from "./state-service.js";
 import { VirtualClock } from "./virtual-clock.js";
 import { Worker, type WorkerWorld } from "./worker.js";
 
@@ -25,6 +25,8 @@
   teams: TeamSettings[];
   types: MachineType[];
   capacity: Map<string, number>;
+  controllers: number;
+  state: StateLimits;
 }
 
 interface Node {
@@ -42,7 +44,7 @@
   isLevelEnabled: () => false,
 };
 
-/** Everything around three controllers, in virtual time, with seeded luck. */
+/** Everything around the controllers, in virtual time, with seeded luck. */
 export class World {
   readonly clock = new VirtualClock();
   readonly history: Happening[] = [];
@@ -63,7 +65,7 @@
 
   constructor(readonly plan: Plan) {
     this.luck = xoroshiro128plus(plan.seed);
-    this.state = new StateService(this.clock, () => 2 + this.random() * 6);
+    this.state = new StateService(this.clock, () => 2 + this.random() * 6, plan.state);
     this.cloud = new CloudService(this.clock, plan.types, plan.capacity, 3000);
     this.cloud.onBoot = (host, offer) => this.boot(host, offer);
     this.cloud.onGone = (host) => {
@@ -73,7 +75,7 @@
       worker.killAll("gone");
       this.workers.delete(host);
     };
-    for (const name of ["nest-0", "nest-1", "nest-2"])
+    for (let i = 0, name = "nest-0"; i < plan.controllers; name = `nest-${++i}`)
       this.nodes.set(name, { name, controller: null, scope: null, incoming$: new Subject() });
   }
 
@@ -100,7 +102,12 @@
         teams: this.plan.teams,
         objectives: [],
         workers: { report_s: 2.5, lease_s: 18, gang_wait_s: 35, gang_peer_s: 4, cancel_s: 43 },
-        state: { rps: 100, write_rps: 25, value_kb: 32, txn_ops: 16 },
+        state: {
+          rps: this.plan.state.rps,
+          write_rps: this.plan.state.writeRps,
+          value_kb: this.plan.state.valueKb,
+          txn_ops: this.plan.state.txnOps,
+        },
         cloud: { rps: 5, list_lag_s: 3 },
         quota: { core_share: 0.3, mem_mb: 178, sockets: 1500 },
       },
