Keep room for gangs that have waited half of their aim

Ruled out: too few machines (22 were up), the allotment (status-merge uses none of what is limited). Change: room that is free is kept for the first gang of a class that has waited half of its aim, in the zone where it should be complete the soonest; work that ends before then may still use it.

--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -83,7 +83,7 @@
       guaranteed: (unit) => this.leader.guarantees.within(unit.spec.ref),
       excess: this.leader.guarantees.excess(this.leader.use()),
       preemptAfterMs: this.tuning.phi * PREEMPT_AFTER_PHI * 1000,
-      bootMs: (machine) => (this.leader.types.find((t) => t.name === machine.type)?.bootS ?? 0) * 1000,
+      bootMs: (machine) => this.leader.bootMs(machine),
     };
   }
 
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -638,6 +638,16 @@
     });
   }
 
+  bootMs(machine: Machine): number {
+    return (this.types.find((type) => type.name === machine.type)?.bootS ?? 0) * 1000;
+  }
+
+  /** Half of the time in which tasks of the class should start; without such an aim, a lease. */
+  private reserveAfterMs(klass: string): number {
+    const aim = aimS(this.settings.platform, "wait", klass);
+    return Number.isFinite(aim) ? (aim * 1000) / 2 : this.settings.timing.leaseMs;
+  }
+
   /** What each team uses in the parts this node leads. */
   use(): TeamUse[] {
     const sum = new Map<string, TeamUse>();
@@ -665,6 +675,9 @@
         order,
         backfill,
         allotment: (team: string) => this.allotments.held(part.id, team),
+        expectS: (unit: Unit) => this.history.expectS(unit.spec),
+        bootMs: (machine: Machine) => this.bootMs(machine),
+        reserveAfterMs: (klass: string) => this.reserveAfterMs(klass),
         slotsFor: (unit: Unit, slots: Slot[]) => this.prices.slotsFor(unit, slots),
       };
       const result = runPass(part, context);
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -2,11 +2,10 @@
 import { attemptKey, freeRoom, hold, usable, type Machine } from "../workers/machine.js";
 import { inOrder, type LocalOrder } from "./order.js";
 import { placeTasks, type Slot } from "./placement.js";
+import { beside, reserve, type Reservation, type ReserveContext } from "./reserve.js";
 import { pieceName, place, type Placement, type Unit } from "./unit.js";
 
-export interface PassContext {
-  now: number;
-  silentMs: number;
+export interface PassContext extends ReserveContext {
   order: LocalOrder;
   backfill: boolean;
   /** Of each team's limit, what this part holds at present. */
@@ -65,6 +64,8 @@
   const slots = usableSlots(part, context.now, context.silentMs);
   const usage = usageByTeam(part);
   const hopeless = new Set<string>();
+  const kept: Reservation[] = [];
+  const keptFor = new Set<string>();
   const lacking = new Map<string, { unit: Unit; missing: number }>();
   for (const unit of inOrder(waiting, context.order)) {
     const { spec } = unit;
@@ -86,9 +87,17 @@
     // machines would be rented for this work either.
     if (hopeless.has(shape) && unit.failedOn.size === 0) continue;
     if (within === 0 || (isGang && within < wanted)) continue;
-    const chosen = placeTasks(spec, within, context.slotsFor(unit, slots), zonesInUse(part, unit), unit.failedOn, isGang);
+    const mine = context.slotsFor(unit, slots);
+    const open = beside(unit, mine, kept, context);
+    const chosen = placeTasks(spec, within, open, zonesInUse(part, unit), unit.failedOn, isGang);
     if (chosen.length < within) {
-      hopeless.add(shape);
+      // Others of its shape may end in time to use what is kept.
+      if (open.length === mine.length) hopeless.add(shape);
+      const room = isGang && !keptFor.has(spec.klass) ? reserve(part, unit, open, context) : null;
+      if (room !== null) {
+        keptFor.add(spec.klass);
+        kept.push(room);
+      }
       if (chosen.length === 0) {
         if (!context.backfill) break;
         continue;
@@ -117,7 +126,7 @@
   }
   for (const [team, { unit, missing }] of lacking) {
     const count = unit.spec.kind === "gang" ? unit.waiting.length : Math.min(PROBE, missing);
-    const open = context.slotsFor(unit, slots);
+    const open = beside(unit, context.slotsFor(unit, slots), kept, context);
     const fit = placeTasks(unit.spec, count, open, zonesInUse(part, unit), unit.failedOn, unit.spec.kind === "gang").length;
     result.short.get(team)!.now = { cpus: fit * unit.spec.cpus, gpus: fit * unit.spec.gpus };
   }
--- a/test/growth.test.ts
+++ b/test/growth.test.ts
@@ -9,7 +9,7 @@
 import { estimateWaits, RunHistory, type EstimateContext } from "../src/queue/estimate.js";
 import { localOrder } from "../src/queue/order.js";
 import type { Slot } from "../src/queue/placement.js";
-import { runPass } from "../src/queue/pass.js";
+import { runPass, type PassContext } from "../src/queue/pass.js";
 import { newUnit, type Unit } from "../src/queue/unit.js";
 import { newMachine, type Capacity, type Machine } from "../src/workers/machine.js";
 import { newFindings, takeReport } from "../src/workers/reports.js";
@@ -58,6 +58,28 @@
   };
 }
 
+const order = localOrder({
+  mode: "urgency",
+  nowWall: NOW,
+  finishS: () => Infinity,
+  expectS: () => 60,
+  guaranteed: () => false,
+});
+const all = (_unit: Unit, slots: Slot[]): Slot[] => slots;
+const unlimited = (): { cpus: number; gpus: number } => ({ cpus: Infinity, gpus: Infinity });
+
+const pass: PassContext = {
+  now: NOW,
+  silentMs: 5000,
+  order,
+  backfill: true,
+  allotment: unlimited,
+  slotsFor: all,
+  expectS: (unit) => unit.spec.guessS,
+  bootMs: () => 10_000,
+  reserveAfterMs: () => 500,
+};
+
 /** A part of `n` machines that counts each look at a machine's images, taken once a judgement. */
 function partOf(n: number, capacity: Capacity): { part: Part; looks: () => number } {
   const part = newPart(0, 5, 0);
@@ -84,20 +106,10 @@
   return unit;
 }
 
-const order = localOrder({
-  mode: "urgency",
-  nowWall: NOW,
-  finishS: () => Infinity,
-  expectS: () => 60,
-  guaranteed: () => false,
-});
-const all = (_unit: Unit, slots: Slot[]): Slot[] => slots;
-const unlimited = (): { cpus: number; gpus: number } => ({ cpus: Infinity, gpus: Infinity });
-
 test("placing an array looks at machines once for each machine filled, not once for each task", () => {
   const { part, looks } = partOf(100, { cpus: 8, gpus: 0, ram: 64 });
   const unit = queueUp(part, specOf({ tasks: 800 }));
-  runPass(part, { now: NOW, silentMs: 5000, order, backfill: true, allotment: unlimited, slotsFor: all });
+  runPass(part, pass);
   assert.equal(unit.waiting.length, 0);
   assert.ok(looks() <= 100 * 100, `${looks()} looks`);
   assert.equal(usageByTeam(part).get("ops")?.cpus, 800);
@@ -138,7 +150,7 @@
 test("waits of gangs and arrays on a full part follow from when its tasks end", () => {
   const { part } = partOf(10, { cpus: 16, gpus: 0, ram: 64 });
   queueUp(part, specOf({ tasks: 10, cpus: 15 }));
-  runPass(part, { now: NOW, silentMs: 5000, order, backfill: true, allotment: unlimited, slotsFor: all });
+  runPass(part, pass);
   const gang = queueUp(part, specOf({ ref: "run-000002", kind: "gang", tasks: 6, cpus: 15 }));
   const array = queueUp(part, specOf({ ref: "run-000003", tasks: 8, cpus: 15 }));
   const large = queueUp(part, specOf({ ref: "run-000004", kind: "gang", tasks: 12, cpus: 15 }));
@@ -159,6 +171,25 @@
   assert.equal(waits.get(large.key), Infinity);
 });
 
+test("room is kept for a gang that has waited, but not from what will be gone in time", () => {
+  const { part } = partOf(3, { cpus: 16, gpus: 0, ram: 64 });
+  const running = queueUp(part, specOf({ tasks: 1, cpus: 15 }));
+  runPass(part, pass);
+  assert.equal(running.waiting.length, 0);
+  // Two machines are free; the gang needs all three, when the task ends in 60 s.
+  const gang = queueUp(part, specOf({ ref: "run-000002", kind: "gang", tasks: 3, cpus: 15 }));
+  const long = queueUp(part, specOf({ ref: "run-000003", cpus: 15, guessS: 90 }));
+  const short = queueUp(part, specOf({ ref: "run-000004", cpus: 15, guessS: 30 }));
+  runPass(part, pass);
+  assert.deepEqual(
+    [gang, long, short].map((unit) => unit.waiting.length),
+    [3, 1, 0],
+  );
+  // Before it has waited, others come first.
+  runPass(part, { ...pass, reserveAfterMs: () => 5000 });
+  assert.equal(long.waiting.length, 0);
+});
+
 const type: MachineType = {
   name: "m",
   cpus: 16,
