--- a/deploy/operators.hcl
+++ b/deploy/operators.hcl
@@ -18,5 +18,4 @@
 fleet {
   idle_per_boot  = 0.4 # the dearest machine, idle for this multiple of its boot time, is returned; cheaper ones idle longer
   late_per_boot  = 3.0 # a machine not up after this multiple is replaced
-  dearest_for_patient = 2.0 # work of a class without any aim waits rather than cost more than this multiple of its cheapest offer
 }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -151,8 +151,6 @@
       types: this.leader.types,
       open: (offer) => this.open(offer),
       allotment: (team) => this.allotments.held(part.id, team),
-      tooDear: (spec, offer) => this.leader.prices.tooDear(spec, offer),
-      slotsFor: (unit, slots) => this.leader.prices.slotsFor(unit, slots),
     });
   }
 
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -6,7 +6,6 @@
 import type { Unit } from "../queue/unit.js";
 import { freeRoom, newMachine } from "../workers/machine.js";
 import type { MachineType, Offer } from "./cloud-client.js";
-import { perMachine } from "./price.js";
 
 export interface PlanContext {
   now: number;
@@ -16,16 +15,19 @@
   /** Offers the cloud refused lately are left out for a while. */
   open: (offer: Offer) => boolean;
   allotment: (team: string) => Usage;
-  /** Whether an offer costs more than the job's class may. */
-  tooDear: (spec: JobSpec, offer: Offer) => boolean;
-  /** Of the slots, those that the job may use. */
-  slotsFor: (unit: Unit, slots: Slot[]) => Slot[];
 }
 
 export function offerName(offer: Offer): string {
   return `${offer.type}/${offer.zone}/${offer.spot ? "spot" : "ordinary"}`;
 }
 
+/** Copies of a task that one empty machine of the type holds. */
+export function perMachine(type: MachineType, unit: Unit): number {
+  const { spec } = unit;
+  const by = (all: number, one: number): number => (one > 0 ? Math.floor((all + 1e-6) / one) : Infinity);
+  return Math.min(by(type.cpus, spec.cpus), by(type.gpus, spec.gpus), by(type.ram, spec.ram), unit.waiting.length);
+}
+
 /**
  * What to rent for the queue: waiting tasks are laid onto free and booting
  * room first; the rest opens imagined machines of the offer that is cheapest
@@ -64,7 +66,7 @@
     if (unit.failedOn.size > 1) continue;
     usage.set(spec.team, { cpus: used.cpus + spec.cpus * left, gpus: used.gpus + spec.gpus * left });
     const layOut = (task: JobSpec, count: number): number => {
-      const chosen = placeTasks(task, count, context.slotsFor(unit, slots), zonesInUse(part, unit), NOBODY, false);
+      const chosen = placeTasks(task, count, slots, zonesInUse(part, unit), NOBODY, false);
       for (const slot of chosen) needed.add(slot.machine.host);
       return chosen.length;
     };
@@ -134,13 +136,12 @@
 ): Choice | null {
   let best: Choice | null = null;
   for (const type of context.types) {
-    const holds = Math.min(perMachine(type, unit.spec), left);
+    const holds = Math.min(perMachine(type, unit), left);
     if (holds < 1) continue;
     for (const zone of type.zones) {
       for (const spot of unit.spec.spot ? [true, false] : [false]) {
         const offer = { type: type.name, zone, spot };
         if (!allowed(task, offer) || !context.open(offer) || !more(offer)) continue;
-        if (context.tooDear(unit.spec, offer)) continue;
         const cost = (spot ? type.spotPrice : type.price) / holds;
         if (best === null || cost < best.cost) best = { type, offer, holds, cost };
       }
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -1,6 +1,5 @@
 import { Subject } from "rxjs";
 import type { MachineType } from "../fleet/cloud-client.js";
-import { Prices } from "../fleet/price.js";
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
 import type { Rentals } from "../ledger/rentals.js";
@@ -12,9 +11,8 @@
 import { localOrder, type LocalOrder } from "../queue/order.js";
 import { runPass, type Shortage } from "../queue/pass.js";
 import { choosePreemptions, PREEMPT_AFTER_PHI } from "../queue/preempt.js";
-import type { Slot } from "../queue/placement.js";
 import { newUnit, type Placement, type Unit } from "../queue/unit.js";
-import { aimS, isPatient, type Settings } from "../settings/derived.js";
+import { aimS, type Settings } from "../settings/derived.js";
 import { newMachine, type Machine, type Order, type Report, type ReportedTask } from "../workers/machine.js";
 import { dropAll, newFindings, ordersFor, splitPiece, takeReport, type Findings, type ReportContext } from "../workers/reports.js";
 import type { Allotments } from "./allotments.js";
@@ -36,7 +34,6 @@
 export class Leader {
   readonly parts = new Map<number, Part>();
   readonly history: RunHistory;
-  readonly prices: Prices;
   /** Machines with orders that should not wait for the next report. */
   readonly dispatch$ = new Subject<{ part: Part; machine: Machine }>();
   /** Teams short of allotment in a part. */
@@ -60,7 +57,6 @@
     private readonly scope: Scope,
   ) {
     this.history = new RunHistory(settings.operators.queue.guesses);
-    this.prices = new Prices((klass) => isPatient(settings.platform, klass), settings.operators.fleet.dearest_for_patient);
   }
 
   start(): void {
@@ -191,7 +187,6 @@
   /** Types become known, or known anew, from the cloud. */
   setTypes(types: MachineType[]): void {
     this.types = types;
-    this.prices.setTypes(types);
     for (const part of this.parts.values()) {
       for (const machine of part.machines.values()) {
         const type = types.find((t) => t.name === machine.type);
@@ -678,7 +673,6 @@
         expectS: (unit: Unit) => this.history.expectS(unit.spec),
         bootMs: (machine: Machine) => this.bootMs(machine),
         reserveAfterMs: (klass: string) => this.reserveAfterMs(klass),
-        slotsFor: (unit: Unit, slots: Slot[]) => this.prices.slotsFor(unit, slots),
       };
       const result = runPass(part, context);
       const patienceMs = this.settings.operators.exchange.phi * PREEMPT_AFTER_PHI * 1000;
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -10,8 +10,6 @@
   backfill: boolean;
   /** Of each team's limit, what this part holds at present. */
   allotment: (team: string) => Usage;
-  /** Of the slots, those that the job may use. */
-  slotsFor: (unit: Unit, slots: Slot[]) => Slot[];
 }
 
 export interface PassResult {
@@ -69,7 +67,7 @@
   const lacking = new Map<string, { unit: Unit; missing: number }>();
   for (const unit of inOrder(waiting, context.order)) {
     const { spec } = unit;
-    const shape = `${spec.klass}|${spec.kind === "gang" ? unit.waiting.length : 1}|${unit.shape}`;
+    const shape = `${spec.kind === "gang" ? unit.waiting.length : 1}|${unit.shape}`;
     const used = usage.get(spec.team) ?? { cpus: 0, gpus: 0 };
     const allotment = context.allotment(spec.team);
     const room = tasksWithin(spec, { cpus: allotment.cpus - used.cpus, gpus: allotment.gpus - used.gpus });
@@ -87,12 +85,11 @@
     // machines would be rented for this work either.
     if (hopeless.has(shape) && unit.failedOn.size === 0) continue;
     if (within === 0 || (isGang && within < wanted)) continue;
-    const mine = context.slotsFor(unit, slots);
-    const open = beside(unit, mine, kept, context);
+    const open = beside(unit, slots, kept, context);
     const chosen = placeTasks(spec, within, open, zonesInUse(part, unit), unit.failedOn, isGang);
     if (chosen.length < within) {
       // Others of its shape may end in time to use what is kept.
-      if (open.length === mine.length) hopeless.add(shape);
+      if (open.length === slots.length) hopeless.add(shape);
       const room = isGang && !keptFor.has(spec.klass) ? reserve(part, unit, open, context) : null;
       if (room !== null) {
         keptFor.add(spec.klass);
@@ -126,7 +123,7 @@
   }
   for (const [team, { unit, missing }] of lacking) {
     const count = unit.spec.kind === "gang" ? unit.waiting.length : Math.min(PROBE, missing);
-    const open = beside(unit, context.slotsFor(unit, slots), kept, context);
+    const open = beside(unit, slots, kept, context);
     const fit = placeTasks(unit.spec, count, open, zonesInUse(part, unit), unit.failedOn, unit.spec.kind === "gang").length;
     result.short.get(team)!.now = { cpus: fit * unit.spec.cpus, gpus: fit * unit.spec.gpus };
   }
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -124,7 +124,7 @@
     const least = isGang ? wanted : 1;
     if (least >= (hopeless.get(shape) ?? Infinity)) continue;
     if (wanted === 0 || (isGang && wanted < unit.waiting.length)) continue;
-    const placed = placeTasks(spec, wanted, context.slotsFor(unit, slots), zonesInUse(part, unit), unit.failedOn, false);
+    const placed = placeTasks(spec, wanted, slots, zonesInUse(part, unit), unit.failedOn, false);
     const missing = wanted - placed.length;
     const cleared: { slot: Slot; victims: Placement[] }[] = [];
     // Zones would have to be weighed as well; such jobs wait their turn.
--- a/src/settings/derived.ts
+++ b/src/settings/derived.ts
@@ -67,11 +67,3 @@
   }
   return least;
 }
-
-/**
- * No objective speaks of the class: it may wait for cheap machines. Objectives
- * without a class speak of all of them.
- */
-export function isPatient(platform: PlatformSettings, klass: string): boolean {
-  return !platform.deployment.objectives.some((aim) => aim.class === undefined || aim.class === klass);
-}
--- a/src/settings/operators.ts
+++ b/src/settings/operators.ts
@@ -27,7 +27,6 @@
     .strictObject({
       idle_per_boot: ratio.default(0.4),
       late_per_boot: ratio.default(3),
-      dearest_for_patient: ratio.default(2),
     })
     .prefault({}),
 });
