Play the queue forward only as far as was asked

Ruled out: reports (2 s), passes (4.5 s), the guarantee review (0.4 s). Change: nothing behind the job asked about is played, playing stops once it is known, what comes free within a moment is one step.

--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -131,7 +131,8 @@
       if (part.phase !== "serving") continue;
       const candidates = [...part.units.values()].filter((unit) => this.movable(unit) && now >= (this.asked.get(unit.key) ?? 0));
       if (candidates.length === 0) continue;
-      const waits = estimateWaits(part, this.estimateContext());
+      const asked = new Set(candidates);
+      const waits = estimateWaits(part, this.estimateContext(), [], (unit) => asked.has(unit));
       for (const unit of candidates) {
         const wait = waits.get(unit.key) ?? Infinity;
         if (wait < this.tuning.phi * 1000) {
@@ -178,7 +179,7 @@
       return;
     }
     const probe = newUnit(keys.job(query.job), job.spec, 0, job.hi, new Bits(job.hi), job.at, this.scope.clock.now());
-    const waitMs = estimateWaits(part, this.estimateContext(), [probe]).get(probe.key) ?? Infinity;
+    const waitMs = estimateWaits(part, this.estimateContext(), [probe], (unit) => unit === probe).get(probe.key) ?? Infinity;
     const runMs = this.leader.history.expectS(job.spec) * 1000;
     this.peers.send(query.from, { Answer: { id: query.id, part: part.id, waitMs, runMs, utilization: utilization(part) } });
   }
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -54,9 +54,12 @@
 /** A machine while the queue is played forward. */
 interface Room extends Slot {
   zone: number;
+  index: number;
 }
 
-const MAX_EVENTS = 2000;
+/** Of the age at which a machine counts as silent: what comes free within it comes free together. */
+const MOMENT = 1 / 5;
+const MAX_MOMENTS = 400;
 const MAX_QUEUE = 60;
 
 /** Parts of all resources in use, by the scarcest of CPUs and accelerators. */
@@ -82,6 +85,8 @@
 class Entry {
   tasks: number;
   private readonly held: Int32Array | null;
+  /** Of each room, whether the job may use it; looked at once. */
+  private readonly may: Uint8Array;
   private readonly perZone: Float64Array;
 
   constructor(
@@ -91,12 +96,14 @@
   ) {
     this.tasks = unit.waiting.length;
     this.perZone = new Float64Array(zones);
+    this.may = new Uint8Array(rooms.length);
+    for (let i = 0; i < rooms.length; i++) this.may[i] = allowed(unit.spec, rooms[i]!.machine) ? 1 : 0;
     this.held = unit.spec.kind === "gang" ? new Int32Array(rooms.length) : null;
     if (this.held !== null) for (let i = 0; i < rooms.length; i++) this.review(i);
   }
 
   holds(room: Room): number {
-    return allowed(this.unit.spec, room.machine) ? Math.min(this.tasks, copies(this.unit.spec, room.free)) : 0;
+    return this.may[room.index] === 1 ? Math.min(this.tasks, copies(this.unit.spec, room.free)) : 0;
   }
 
   /** Room number `i` has changed. */
@@ -122,52 +129,68 @@
 
 /**
  * Plays the queue forward: machines free up as running tasks are expected to
- * end, booting ones count from when they should be up. Gives the wait in ms
- * of every slice asked for; infinite if the part cannot hold it. Work for each
- * thing that happens grows with the queue looked at, not with all machines.
+ * end, booting ones count from when they should be up. Gives the wait in ms of
+ * the slices asked for (`wanted`; all if not given); infinite if the part cannot
+ * hold it. What is behind the last of them in the queue does not matter, and once
+ * all are known nothing more is played: a burst must not make every question dear.
  */
-export function estimateWaits(part: Part, context: EstimateContext, extra: Unit[] = []): Map<string, number> {
+export function estimateWaits(
+  part: Part,
+  context: EstimateContext,
+  extra: Unit[] = [],
+  wanted: ((unit: Unit) => boolean) | null = null,
+): Map<string, number> {
   const { now, history } = context;
+  const moment = context.silentMs * MOMENT;
   const rooms: Room[] = [];
   const zones = new Map<string, number>();
   const events: Event[] = [];
-  const index = new Map<Room, number>();
+  const runMs = new Map<JobSpec, number>();
+  const expectMs = (spec: JobSpec): number => {
+    let ms = runMs.get(spec);
+    if (ms === undefined) runMs.set(spec, (ms = history.expectS(spec) * 1000));
+    return ms;
+  };
+  const due = (at: number): number => now + Math.ceil((at - now) / moment) * moment;
   for (const machine of part.machines.values()) {
     if (machine.deleting || machine.draining || machine.lost || machine.noticeAt !== null) continue;
     if (!zones.has(machine.zone)) zones.set(machine.zone, zones.size);
-    const room: Room = { machine, free: freeRoom(machine), zone: zones.get(machine.zone)! };
+    const room: Room = { machine, free: freeRoom(machine), zone: zones.get(machine.zone)!, index: rooms.length };
     if (!usable(machine, now, context.silentMs)) {
       const readyAt = machine.up
         ? Math.max(now + 1000, machine.avoidUntil)
         : Math.max(now + 1000, machine.hiredAt + context.bootMs(machine));
-      events.push({ at: readyAt, room, freed: { ...room.free }, times: 1 });
+      events.push({ at: due(readyAt), room, freed: { ...room.free }, times: 1 });
       room.free = { cpus: 0, gpus: 0, ram: 0 };
     }
-    index.set(room, rooms.length);
     rooms.push(room);
     for (const { unit, runningAt } of machine.placements.values()) {
-      const left = history.expectS(unit.spec) * 1000 - (runningAt === null ? 0 : now - runningAt);
-      events.push({ at: now + Math.max(1000, left), room, freed: unit.spec, times: 1 });
+      const left = expectMs(unit.spec) - (runningAt === null ? 0 : now - runningAt);
+      events.push({ at: due(now + Math.max(1000, left)), room, freed: unit.spec, times: 1 });
     }
   }
   events.sort((a, b) => a.at - b.at);
-  const queue = inOrder(
-    [
-      ...[...part.units.values()].filter((u) => !u.ended && !u.leaving && u.waiting.length > 0 && (ready(u, now) || u.notBefore > now)),
-      ...extra,
-    ],
-    context.order,
-  ).slice(0, MAX_QUEUE);
+  const all = [...extra];
+  for (const u of part.units.values()) {
+    if (!u.ended && !u.leaving && u.waiting.length > 0 && (ready(u, now) || u.notBefore > now)) all.push(u);
+  }
+  const queue = inOrder(all, context.order);
+  let length = Math.min(queue.length, MAX_QUEUE);
+  if (wanted !== null) while (length > 0 && !wanted(queue[length - 1]!)) length--;
   const waits = new Map<string, number>();
-  let left = queue.map((unit) => new Entry(unit, rooms, Math.max(1, zones.size)));
+  let left = queue.slice(0, length).map((unit) => new Entry(unit, rooms, Math.max(1, zones.size)));
+  let open = wanted === null ? left.length : left.filter((entry) => wanted(entry.unit)).length;
+  const known = (entry: Entry, ms: number): void => {
+    waits.set(entry.unit.key, ms);
+    if (wanted === null || wanted(entry.unit)) open--;
+  };
 
   const take = (room: Room, entry: Entry, n: number, at: number): void => {
     const { spec } = entry.unit;
     shift(room.free, spec, -n);
     entry.tasks -= n;
-    insert(events, { at: at + history.expectS(spec) * 1000, room, freed: spec, times: n });
-    const i = index.get(room)!;
-    for (const other of left) other.review(i);
+    insert(events, { at: due(at + expectMs(spec)), room, freed: spec, times: n });
+    for (const other of left) other.review(room.index);
   };
   /** Places what it can of the entry; `only`: the machines that have changed. */
   const settle = (entry: Entry, at: number, only: Iterable<Room>): boolean => {
@@ -186,28 +209,30 @@
       }
     }
     if (entry.tasks > 0) return false;
-    waits.set(entry.unit.key, Math.max(0, at - now));
+    known(entry, Math.max(0, at - now));
     return true;
   };
   left = left.filter((entry) => !settle(entry, now, rooms));
   const soft = new SoftRooms(part, rooms, context);
   left = left.filter((entry) => {
     if (!soft.makeRoom(entry.unit, entry.tasks)) return true;
-    waits.set(entry.unit.key, context.preemptAfterMs);
+    known(entry, context.preemptAfterMs);
     return false;
   });
-  for (let i = 0; i < MAX_EVENTS && i < events.length && left.length > 0;) {
+  for (let i = 0, moments = 0; moments < MAX_MOMENTS && i < events.length && open > 0; moments++) {
     const { at } = events[i]!;
-    const changed = new Set<Room>();
+    const changed: Room[] = [];
     // What comes free at one moment is given out together, or the first small job
     // would take from under a gang what is there for all of it.
     for (; i < events.length && events[i]!.at === at; i++) {
       const { room, freed, times } = events[i]!;
       shift(room.free, freed, times);
-      changed.add(room);
+      if (!changed.includes(room)) changed.push(room);
     }
-    for (const entry of left) for (const room of changed) entry.review(index.get(room)!);
-    left = left.filter((entry) => !settle(entry, at, changed));
+    for (const entry of left) for (const room of changed) entry.review(room.index);
+    let gone = 0;
+    for (const entry of left) if (settle(entry, at, changed)) gone++;
+    if (gone > 0) left = left.filter((entry) => entry.tasks > 0);
   }
   for (const entry of left) waits.set(entry.unit.key, Infinity);
   return waits;
