Split the leader of parts by duty

Progress, machines that came up, consequences of reports, watch, report desk, placing and summary are modules of their own; no change of behaviour.

--- /dev/null
+++ b/src/parts/consequences.ts
@@ -0,0 +1,69 @@
+import type { Unit, Placement } from "../queue/unit.js";
+import type { Findings } from "../workers/reports.js";
+import type { Led } from "./led.js";
+import type { Part } from "./part.js";
+import type { Progress } from "./progress.js";
+
+/** Tasks seen, and times the usual run time they took, before a machine counts as slow. */
+const SLOW_AFTER = 3;
+const SLOW_FACTOR = 2;
+
+/** What follows from what reports and the passing of time brought about. */
+export class Consequences {
+  constructor(
+    private readonly led: Led,
+    private readonly progress: Progress,
+  ) {}
+
+  act(part: Part, findings: Findings): void {
+    for (const unit of findings.finished) this.progress.record(part, unit);
+    for (const { unit, seconds, host } of findings.runs) {
+      this.judgePace(part, unit, seconds, host);
+      this.led.history.note(unit.spec, seconds);
+    }
+    for (const placement of findings.began) this.began(part, placement);
+    for (const unit of findings.broken) this.bringDown(part, unit);
+    if (findings.changed) this.led.wake();
+  }
+
+  private began(part: Part, placement: Placement): void {
+    const { spec, submittedWall, moved } = placement.unit;
+    this.led.stats.starts++;
+    this.led.began$.next({ klass: spec.klass, waitS: Math.max(0, this.led.scope.clock.wall() - submittedWall) / 1000 });
+    this.led.scope.log.debug(
+      {
+        part: part.id,
+        job: spec.ref,
+        task: placement.task,
+        class: spec.klass,
+        host: placement.host,
+        waitMs: Math.round(this.led.scope.clock.wall() - submittedWall),
+        startMs: Math.round(this.led.now - placement.orderedAt),
+        moved,
+      },
+      "running",
+    );
+  }
+
+  /** A machine on which several tasks took much longer than their kin is returned when empty. */
+  private judgePace(part: Part, unit: Unit, seconds: number, host: string): void {
+    const machine = part.machines.get(host);
+    // A gang runs as fast as its slowest machine, so its times accuse none of them.
+    if (machine === undefined || unit.spec.kind !== "array") return;
+    machine.pace.sum += Math.log(seconds / this.led.history.expectS(unit.spec));
+    machine.pace.count++;
+    if (machine.draining || machine.pace.count < SLOW_AFTER || machine.pace.sum / machine.pace.count < Math.log(SLOW_FACTOR)) return;
+    machine.draining = true;
+    this.led.scope.log.info({ part: part.id, host, factor: Math.exp(machine.pace.sum / machine.pace.count) }, "machine set aside: slow");
+  }
+
+  /** A gang lost a member: the rest must go before all can start again. */
+  bringDown(part: Part, unit: Unit): void {
+    for (const placement of unit.placed.values()) {
+      if (placement.stop !== null) continue;
+      placement.stop = { graceS: 0 };
+      const machine = part.machines.get(placement.host);
+      if (machine !== undefined) this.led.dispatch$.next({ part, machine });
+    }
+  }
+}
--- /dev/null
+++ b/src/parts/led.ts
@@ -0,0 +1,36 @@
+import type { Subject } from "rxjs";
+import type { MachineType } from "../fleet/cloud-client.js";
+import type { Scope } from "../platform/scope.js";
+import type { RunHistory } from "../queue/estimate.js";
+import type { Shortage } from "../queue/pass.js";
+import type { Settings } from "../settings/derived.js";
+import type { Machine } from "../workers/machine.js";
+import type { Part } from "./part.js";
+
+export interface LeadStats {
+  starts: number;
+  takeovers: number;
+  preemptions: number;
+  fencedMs: number;
+}
+
+/** What the duties of leading share: the parts this node leads, and whom to tell. */
+export interface Led {
+  readonly settings: Settings;
+  readonly scope: Scope;
+  readonly parts: Map<number, Part>;
+  readonly history: RunHistory;
+  readonly types: MachineType[];
+  readonly stats: LeadStats;
+  /** Machines with orders that should not wait for the next report. */
+  readonly dispatch$: Subject<{ part: Part; machine: Machine }>;
+  /** Teams short of allotment in a part. */
+  readonly short$: Subject<{ part: Part; team: string; want: Shortage }>;
+  /** Tasks that began to run, with their wait since submission. */
+  readonly began$: Subject<{ klass: string; waitS: number }>;
+  readonly now: number;
+  /** No proof that all cancellations and takeovers are known: workers must not be answered. */
+  silent(): boolean;
+  /** Runs a placement pass soon. */
+  wake(): void;
+}
--- /dev/null
+++ b/src/parts/placing.ts
@@ -0,0 +1,98 @@
+import { localOrder, type LocalOrder } from "../queue/order.js";
+import { runPass } from "../queue/pass.js";
+import { choosePreemptions, PREEMPT_AFTER_PHI } from "../queue/preempt.js";
+import type { Unit } from "../queue/unit.js";
+import { aimS } from "../settings/derived.js";
+import type { Machine } from "../workers/machine.js";
+import type { Allotments } from "./allotments.js";
+import type { Guarantees, TeamUse } from "./guarantees.js";
+import type { Led } from "./led.js";
+
+/** Placement passes over the parts this node leads. */
+export class Placing {
+  private due = false;
+
+  constructor(
+    private readonly led: Led,
+    private readonly allotments: Allotments,
+    private readonly guarantees: Guarantees,
+  ) {}
+
+  /** Runs a pass soon; many events share one. */
+  wake(): void {
+    if (this.due) return;
+    this.due = true;
+    this.led.scope.clock.after(this.led.settings.timing.passGapMs, () => {
+      this.due = false;
+      if (!this.led.scope.closed) this.pass();
+    });
+  }
+
+  order(): LocalOrder {
+    return localOrder({
+      mode: this.led.settings.operators.queue.order,
+      nowWall: this.led.scope.clock.wall(),
+      finishS: (klass) => aimS(this.led.settings.platform, "finished", klass),
+      expectS: (unit) => this.led.history.expectS(unit.spec),
+      guaranteed: (unit) => this.guarantees.within(unit.spec.ref),
+    });
+  }
+
+  bootMs(machine: Machine): number {
+    return (this.led.types.find((type) => type.name === machine.type)?.bootS ?? 0) * 1000;
+  }
+
+  /** Half of the time in which tasks of the class should start; without such an aim, a lease. */
+  private reserveAfterMs(klass: string): number {
+    const aim = aimS(this.led.settings.platform, "wait", klass);
+    return Number.isFinite(aim) ? (aim * 1000) / 2 : this.led.settings.timing.leaseMs;
+  }
+
+  /** What each team uses in the parts this node leads. */
+  use(): TeamUse[] {
+    const sum = new Map<string, TeamUse>();
+    for (const part of this.led.parts.values()) {
+      for (const [team, { cpus, gpus }] of part.usage) {
+        const entry = sum.get(team) ?? { team, cpus: 0, gpus: 0 };
+        sum.set(team, { team, cpus: entry.cpus + cpus, gpus: entry.gpus + gpus });
+      }
+    }
+    return [...sum.values()];
+  }
+
+  private pass(): void {
+    if (this.led.silent() || this.led.types.length === 0) return;
+    const { backfill } = this.led.settings.operators.queue;
+    const order = this.order();
+    const claims = {
+      guaranteed: (unit: Unit) => this.guarantees.within(unit.spec.ref),
+      excess: this.guarantees.excess(this.use()),
+    };
+    for (const part of this.led.parts.values()) {
+      const context = {
+        now: this.led.now,
+        silentMs: this.led.settings.timing.reportMs * 2,
+        order,
+        backfill,
+        allotment: (team: string) => this.allotments.held(part.id, team),
+        expectS: (unit: Unit) => this.led.history.expectS(unit.spec),
+        bootMs: (machine: Machine) => this.bootMs(machine),
+        reserveAfterMs: (klass: string) => this.reserveAfterMs(klass),
+      };
+      const result = runPass(part, context);
+      const patienceMs = this.led.settings.operators.exchange.phi * PREEMPT_AFTER_PHI * 1000;
+      for (const placement of choosePreemptions(part, { ...context, ...claims, patienceMs })) {
+        const { spec } = placement.unit;
+        placement.stop = { graceS: spec.checkpointS > 0 ? spec.flushS : 0 };
+        this.led.stats.preemptions++;
+        this.led.scope.log.debug(
+          { part: part.id, job: spec.ref, task: placement.task, host: placement.host },
+          "stopped for work of higher priority",
+        );
+        result.touched.add(part.machines.get(placement.host)!);
+      }
+      for (const machine of result.touched) this.led.dispatch$.next({ part, machine });
+      for (const [team, want] of result.short) this.led.short$.next({ part, team, want });
+    }
+  }
+}
--- /dev/null
+++ b/src/parts/progress.ts
@@ -0,0 +1,101 @@
+import type { Committer } from "../ledger/committer.js";
+import type { Mirror } from "../ledger/mirror.js";
+import { keys, type JobRecord, type SliceRecord } from "../ledger/records.js";
+import { Bits } from "../platform/bits.js";
+import type { Unit } from "../queue/unit.js";
+import { splitPiece } from "../workers/reports.js";
+import type { Led } from "./led.js";
+import type { Part } from "./part.js";
+
+/** What is done, made durable before anybody is told and before a worker forgets it. */
+export class Progress {
+  constructor(
+    private readonly led: Led,
+    private readonly mirror: Mirror,
+    private readonly committer: Committer,
+  ) {}
+
+  /**
+   * Records what is done; nothing is told, and nothing cleared, before that. A
+   * slice that is complete is recorded at once. Progress short of that is only
+   * insurance against losing this node, and workers keep their results until they
+   * are cleared, so it is recorded once a lease: a write for every few tasks would
+   * crowd out submissions.
+   */
+  record(part: Part, unit: Unit): void {
+    if (unit.committing) return;
+    if (unit.done.full) return this.recordNow(part, unit);
+    if (unit.recordDue) return;
+    unit.recordDue = true;
+    this.led.scope.clock.after(this.led.settings.timing.leaseMs, () => {
+      unit.recordDue = false;
+      if (!unit.committing && !unit.ended && this.led.parts.get(part.id) === part) this.recordNow(part, unit);
+    });
+  }
+
+  private recordNow(part: Part, unit: Unit): void {
+    unit.committing = true;
+    const { ref } = unit.spec;
+    const isJob = unit.lo === 0;
+    let sent = 0;
+    const draft = () => {
+      const entry = this.mirror.get<JobRecord | SliceRecord>(unit.key);
+      const job = this.mirror.get<JobRecord>(keys.job(ref));
+      if (entry === undefined || job === undefined || job.v.end !== undefined || entry.v.part !== part.id) return null;
+      if (this.mirror.stamp(keys.owner(part.id)) !== part.term) return null;
+      const bits = Bits.decode(unit.hi - unit.lo, entry.v.done);
+      const before = bits.count;
+      bits.merge(unit.done);
+      const complete = isJob && bits.full && this.slicesFull(ref);
+      if (bits.count === before && !complete) return null;
+      sent = unit.done.count;
+      const value = { ...entry.v, done: bits.encode(), ...(complete ? { end: "done" as const } : {}) };
+      return {
+        conditions: [
+          { k: unit.key, stamp: entry.stamp },
+          { k: keys.owner(part.id), stamp: part.term },
+        ],
+        apply: [{ write: unit.key, v: value }],
+      };
+    };
+    void this.committer.commit("done", draft, { first: unit.done.full }).then((outcome) => {
+      unit.committing = false;
+      if (outcome === "done") {
+        this.led.scope.log.debug({ part: part.id, job: ref, done: unit.done.count, of: unit.hi - unit.lo }, "progress recorded");
+        if (unit.done.count > sent) this.record(part, unit);
+      }
+    });
+  }
+
+  private slicesFull(ref: string): boolean {
+    const spec = this.mirror.get<JobRecord>(keys.job(ref))!.v;
+    if (spec.hi >= spec.spec.tasks) return true;
+    let covered = spec.hi;
+    for (const [key, entry] of this.mirror.rows<SliceRecord>(keys.slices)) {
+      if (!key.startsWith(`${keys.slices}${ref}/`)) continue;
+      const slice = entry.v;
+      if (!Bits.decode(slice.hi - slice.lo, slice.done).full) return false;
+      covered += slice.hi - slice.lo;
+    }
+    return covered >= spec.spec.tasks;
+  }
+
+  recordedDone(piece: string): boolean {
+    const { ref, task } = splitPiece(piece);
+    const job = this.mirror.get<JobRecord>(keys.job(ref));
+    if (job === undefined) return false;
+    if (job.v.end !== undefined) return true;
+    const found = this.recordOf(ref, task);
+    return found !== null && Bits.decode(found.hi - found.lo, found.done).has(task - found.lo);
+  }
+
+  private recordOf(ref: string, task: number): { lo: number; hi: number; done: string } | null {
+    const job = this.mirror.get<JobRecord>(keys.job(ref));
+    if (job === undefined) return null;
+    if (task < job.v.hi) return { lo: 0, hi: job.v.hi, done: job.v.done };
+    for (const [key, entry] of this.mirror.rows<SliceRecord>(keys.slices)) {
+      if (key.startsWith(`${keys.slices}${ref}/`) && task >= entry.v.lo && task < entry.v.hi) return entry.v;
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/parts/report-desk.ts
@@ -0,0 +1,120 @@
+import type { Mirror } from "../ledger/mirror.js";
+import { keys, type JobRecord, type JobSpec, type OwnerRecord } from "../ledger/records.js";
+import type { Rentals } from "../ledger/rentals.js";
+import { Bits } from "../platform/bits.js";
+import { newUnit, type Unit } from "../queue/unit.js";
+import type { Machine, Order, Report, ReportedTask } from "../workers/machine.js";
+import { newFindings, ordersFor, takeReport, type ReportContext } from "../workers/reports.js";
+import type { CameUp } from "./came-up.js";
+import type { Consequences } from "./consequences.js";
+import type { Led } from "./led.js";
+import type { Part } from "./part.js";
+import type { Progress } from "./progress.js";
+import type { Watch } from "./watch.js";
+
+const MAX_ORDERS = 250;
+
+export type ReportAnswer =
+  { kind: "orders"; token: number; orders: Order[] } | { kind: "elsewhere"; boss: string | null } | { kind: "silent" };
+
+/** Takes in what workers report and says what to answer. */
+export class ReportDesk {
+  constructor(
+    private readonly led: Led,
+    private readonly mirror: Mirror,
+    private readonly rentals: Rentals,
+    private readonly progress: Progress,
+    private readonly cameUp: CameUp,
+    private readonly consequences: Consequences,
+    private readonly watch: Watch,
+  ) {}
+
+  /** A worker's own report, and what to answer. */
+  onReport(report: Report): ReportAnswer {
+    if (!this.mirror.loaded || this.led.silent()) return { kind: "silent" };
+    const record = this.rentals.get(report.host);
+    if (record === undefined) return { kind: "elsewhere", boss: null };
+    const part = this.led.parts.get(record.part);
+    if (part === undefined) return { kind: "elsewhere", boss: this.mirror.get<OwnerRecord>(keys.owner(record.part))?.v.owner ?? null };
+    if (report.token > part.term) {
+      // Somebody newer leads it: an answer of ours would be dropped anyway.
+      void this.mirror.fresh().catch(() => undefined);
+      const owner = this.mirror.get<OwnerRecord>(keys.owner(record.part))?.v.owner ?? null;
+      return { kind: "elsewhere", boss: owner === this.led.settings.self ? null : owner };
+    }
+    const machine = part.machines.get(report.host);
+    if (machine === undefined || machine.deleting) return { kind: "silent" };
+    const newer = this.take(part, machine, report, true);
+    const orders: Order[] = [];
+    if (newer && machine.up && machine.fenced) {
+      orders.push(...ordersFor(machine, "report", (task) => this.clearable(task), MAX_ORDERS));
+      for (const placement of machine.placements.values()) if (placement.state === null) placement.offeredSeq = report.seq;
+    } else if (!machine.up) this.cameUp.record(part, machine);
+    machine.answeredAt = this.led.now;
+    return { kind: "orders", token: part.term, orders };
+  }
+
+  private clearable(task: ReportedTask): boolean {
+    return task.cause !== "done" || this.progress.recordedDone(task.piece);
+  }
+
+  /** A report that came as the body of an answer to a direct command. */
+  onCommandReply(part: Part, machine: Machine, report: Report): void {
+    if (this.led.parts.get(part.id) !== part || part.machines.get(machine.host) !== machine) return;
+    this.take(part, machine, report, false);
+  }
+
+  private take(part: Part, machine: Machine, report: Report, viaReport: boolean): boolean {
+    const findings = newFindings();
+    const context: ReportContext = {
+      now: this.led.now,
+      viaReport,
+      leaseMs: this.led.settings.timing.leaseMs,
+      coolMs: this.led.settings.timing.reportMs,
+      unitOf: (ref, task) => {
+        for (const unit of part.byRef.get(ref) ?? []) if (task >= unit.lo && task < unit.hi) return { unit, task: task - unit.lo };
+        return null;
+      },
+      strangerOf: (ref) => this.stranger(ref),
+    };
+    const wasDraining = machine.draining;
+    const newer = takeReport(part, machine, report, context, findings);
+    if (!wasDraining && machine.draining)
+      this.led.scope.log.info({ part: part.id, host: machine.host }, "machine set aside: it failed tasks of several jobs");
+    this.consequences.act(part, findings);
+    if (newer && part.phase === "fencing") this.watch.reviewFence(part);
+    return newer;
+  }
+
+  /** Spec of a job that is not ours to run, so that what it uses still counts. */
+  private stranger(ref: string): Unit {
+    const job = this.mirror.get<JobRecord>(keys.job(ref))?.v;
+    const spec: JobSpec =
+      job?.spec ??
+      ({
+        ref,
+        klass: "",
+        team: "",
+        kind: "array",
+        urgency: "low",
+        tasks: 1,
+        cpus: 0,
+        gpus: 0,
+        ram: 0,
+        types: null,
+        zone: null,
+        oneZone: false,
+        spread: false,
+        spot: true,
+        image: "",
+        imageGb: 0,
+        guessS: 0,
+        checkpointS: 0,
+        flushS: 0,
+        deadlineS: null,
+      } satisfies JobSpec);
+    const unit = newUnit(`stranger/${ref}`, { ...spec }, 0, 0, new Bits(0), 0, this.led.now);
+    unit.ended = true;
+    return unit;
+  }
+}
--- /dev/null
+++ b/src/parts/watch.ts
@@ -0,0 +1,80 @@
+import type { Machine } from "../workers/machine.js";
+import { dropAll, newFindings } from "../workers/reports.js";
+import type { Consequences } from "./consequences.js";
+import type { Led } from "./led.js";
+import type { Part } from "./part.js";
+import type { Progress } from "./progress.js";
+
+/** What the passing of time brings: leases that run out, notices, the end of fencing. */
+export class Watch {
+  constructor(
+    private readonly led: Led,
+    private readonly progress: Progress,
+    private readonly consequences: Consequences,
+  ) {}
+
+  look(): void {
+    const { expiryMs } = this.led.settings.timing;
+    for (const part of this.led.parts.values()) {
+      for (const machine of part.machines.values()) {
+        if (!machine.lost && machine.up && this.led.now > machine.answeredAt + expiryMs) {
+          // Nobody answered it validly for longer than its lease: its tasks are gone.
+          machine.lost = true;
+          machine.fenced = true;
+          const findings = newFindings();
+          dropAll(machine, this.led.now, findings);
+          findings.changed = true;
+          this.led.scope.log.info({ part: part.id, host: machine.host }, "machine lost: its lease ran out");
+          this.consequences.act(part, findings);
+        }
+        if (part.phase === "serving" && (machine.noticeAt !== null || machine.draining)) this.evacuate(part, machine);
+        if (!machine.fenced && !machine.lost && part.phase === "fencing") this.led.dispatch$.next({ part, machine });
+      }
+      if (part.phase === "fencing") this.reviewFence(part);
+    }
+    this.led.wake();
+  }
+
+  reviewFence(part: Part): void {
+    for (const machine of part.machines.values()) if (!machine.fenced) return;
+    part.phase = "serving";
+    this.led.stats.fencedMs = Math.round(this.led.now - part.since);
+    this.led.scope.log.info(
+      { part: part.id, term: part.term, ms: Math.round(this.led.now - part.since), machines: part.machines.size },
+      "all machines accounted for; placing",
+    );
+    // Gangs found incomplete cannot be completed by a new attempt: bring them down.
+    for (const unit of part.units.values()) {
+      if (unit.spec.kind === "gang" && unit.placed.size > 0 && unit.waiting.length > 0) this.consequences.bringDown(part, unit);
+      if (unit.done.count > 0) this.progress.record(part, unit);
+    }
+    this.led.wake();
+  }
+
+  /**
+   * Work that can save, and replicas, leave a machine that is going while there is
+   * time; what would finish first, or cannot save anyway, runs on.
+   */
+  private evacuate(part: Part, machine: Machine): void {
+    const { reportMs } = this.led.settings.timing;
+    const leftMs = machine.noticeAt === null ? Infinity : machine.noticeAt - this.led.now;
+    for (const placement of machine.placements.values()) {
+      const { spec } = placement.unit;
+      if (placement.stop !== null || placement.state !== "running") continue;
+      const flushMs = spec.flushS * 1000;
+      const isService = spec.kind === "service";
+      if (!isService && (machine.noticeAt === null || spec.checkpointS <= 0)) continue;
+      const runLeftMs = this.led.history.expectS(spec) * 1000 - (this.led.now - (placement.runningAt ?? this.led.now));
+      const now = isService || (leftMs < flushMs + 2 * reportMs && leftMs > flushMs && runLeftMs > leftMs);
+      if (!now) continue;
+      // All of a gang must be told within `gang_peer_s` of the first, or the save fails.
+      const together = spec.kind === "gang" ? [...placement.unit.placed.values()] : [placement];
+      for (const mate of together) {
+        const host = part.machines.get(mate.host);
+        if (mate.stop !== null || host === undefined) continue;
+        mate.stop = { graceS: spec.flushS };
+        this.led.dispatch$.next({ part, machine: host });
+      }
+    }
+  }
+}
--- a/src/workers/report-endpoint.ts
+++ b/src/workers/report-endpoint.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { ReportAnswer } from "../parts/leader.js";
+import type { ReportAnswer } from "../parts/report-desk.js";
 import { decodeReport, encodeOrders } from "./codec.js";
 import type { Report } from "./machine.js";
 
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -1,5 +1,5 @@
 import type { JobSpec } from "../../src/ledger/records.js";
-import type { ReportAnswer } from "../../src/parts/leader.js";
+import type { ReportAnswer } from "../../src/parts/report-desk.js";
 import type { CommandReply } from "../../src/workers/worker-client.js";
 import type { Order, Report, ReportedTask } from "../../src/workers/machine.js";
 import type { Offer } from "../../src/fleet/cloud-client.js";
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -12,7 +12,7 @@
 import { derive } from "../../src/settings/derived.js";
 import { checkOperators } from "../../src/settings/operators.js";
 import type { PlatformSettings, TeamSettings } from "../../src/settings/platform-file.js";
-import type { ReportAnswer } from "../../src/parts/leader.js";
+import type { ReportAnswer } from "../../src/parts/report-desk.js";
 import type { CommandReply } from "../../src/workers/worker-client.js";
 import type { Happening, Limits } from "./checker.js";
 import { CloudService } from "./cloud-service.js";
