Move the waiting tail of an array in slices; ask first for the most urgent job

Cause: the design's slices were not built for arrays within one record, and of the jobs that could ask, the oldest asked first, so in a burst urgent gangs queued behind hundreds of arrays for the one outstanding query. Room was kept for wide gangs after half their aim, which held up narrow ones. Change: the last waiting tasks of an array become a slice in the part with the most room now; candidates ask in the queue's order; a wide gang must have waited for its whole aim before room is kept, one of usual width half of it.

--- a/src/exchange/choice.ts
+++ b/src/exchange/choice.ts
@@ -4,6 +4,8 @@
   waitMs: number;
   runMs: number;
   utilization: number;
+  /** Tasks it could start now, if not all. */
+  atOnce: number;
 }
 
 const turnaround = (bid: Bid): number => bid.waitMs + bid.runMs;
@@ -19,3 +21,8 @@
   const tied = better.filter((bid) => turnaround(bid) <= least * (1 + epsilon));
   return tied.reduce((a, b) => (b.utilization < a.utilization ? b : a));
 }
+
+/** Where the most tasks of an array could start now; null: nowhere. */
+export function roomiest(bids: Bid[]): Bid | null {
+  return bids.reduce<Bid | null>((most, bid) => (bid.atOnce > (most?.atOnce ?? 0) ? bid : most), null);
+}
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -1,20 +1,21 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, type JobRecord } from "../ledger/records.js";
+import { keys, type JobRecord, type SliceRecord } from "../ledger/records.js";
 import { Bits } from "../platform/bits.js";
 import type { Scope } from "../platform/scope.js";
 import type { Allotments } from "../parts/allotments.js";
 import type { Leader } from "../parts/leader.js";
 import type { Ownership } from "../parts/ownership.js";
-import { usageOf, type Part } from "../parts/part.js";
+import { tasksWithin, usageOf, type Part, type Usage } from "../parts/part.js";
 import type { PeerApi } from "../peers/links.js";
 import type { Answer, Query, Volunteer, Want } from "../peers/messages.js";
 import { estimateWaits, utilization, type EstimateContext } from "../queue/estimate.js";
 import { PREEMPT_AFTER_PHI } from "../queue/preempt.js";
 import type { Shortage } from "../queue/pass.js";
-import { newUnit, type Unit } from "../queue/unit.js";
+import { inOrder } from "../queue/order.js";
+import { newUnit, tailOf, type Unit } from "../queue/unit.js";
 import type { Settings } from "../settings/derived.js";
-import { best, type Bid } from "./choice.js";
+import { best, roomiest, type Bid } from "./choice.js";
 
 interface Asking {
   id: number;
@@ -37,7 +38,7 @@
   private readonly wanted = new Map<string, number>();
   private asking: Asking | null = null;
   private queries = 0;
-  stats = { home: 0, volunteer: 0, asked: 0, queries: 0 };
+  stats = { home: 0, volunteer: 0, asked: 0, slices: 0, queries: 0 };
 
   constructor(
     private readonly settings: Settings,
@@ -124,12 +125,22 @@
     );
   }
 
+  /** Waiting tasks at the end of an array may go elsewhere though the rest has started here. */
+  private sliceable(unit: Unit): boolean {
+    const { kind, oneZone, spread } = unit.spec;
+    return kind === "array" && !oneZone && !spread && !unit.moved && !unit.ended && !unit.leaving && unit.lo === 0 && tailOf(unit) > 0;
+  }
+
   private consider(): void {
     if (this.tuning.mode === "off" || this.asking !== null || this.leader.silent()) return;
     const now = this.scope.clock.now();
     for (const part of this.leader.parts.values()) {
       if (part.phase !== "serving") continue;
-      const candidates = [...part.units.values()].filter((unit) => this.movable(unit) && now >= (this.asked.get(unit.key) ?? 0));
+      // One query is out at a time, so in a burst the most urgent job must ask first.
+      const candidates = inOrder(
+        [...part.units.values()].filter((unit) => (this.movable(unit) || this.sliceable(unit)) && now >= (this.asked.get(unit.key) ?? 0)),
+        this.leader.order(),
+      );
       if (candidates.length === 0) continue;
       const asked = new Set(candidates);
       const waits = estimateWaits(part, this.estimateContext(), [], (unit) => asked.has(unit));
@@ -155,7 +166,14 @@
     if (targets.length === 0) return false;
     const id = ++this.queries;
     const runMs = this.leader.history.expectS(unit.spec) * 1000;
-    this.asking = { id, part, unit, home: { part: part.id, waitMs, runMs, utilization: utilization(part) }, open: new Set(), bids: [] };
+    this.asking = {
+      id,
+      part,
+      unit,
+      home: { part: part.id, waitMs, runMs, utilization: utilization(part), atOnce: 0 },
+      open: new Set(),
+      bids: [],
+    };
     this.stats.queries++;
     for (const target of targets) {
       const sent = this.peers.send(this.ownerOf(target)!, { Query: { id, part: target, job: unit.spec.ref, from: this.settings.self } });
@@ -175,13 +193,32 @@
     const part = this.leader.parts.get(query.part);
     const job = this.mirror.get<JobRecord>(keys.job(query.job))?.v;
     if (part === undefined || part.phase !== "serving" || job === undefined || this.leader.silent()) {
-      this.peers.send(query.from, { Answer: { id: query.id, part: query.part, waitMs: Infinity, runMs: 0, utilization: 1 } });
+      this.peers.send(query.from, { Answer: { id: query.id, part: query.part, waitMs: Infinity, runMs: 0, utilization: 1, atOnce: 0 } });
       return;
     }
     const probe = newUnit(keys.job(query.job), job.spec, 0, job.hi, new Bits(job.hi), job.at, this.scope.clock.now());
-    const waitMs = estimateWaits(part, this.estimateContext(), [probe], (unit) => unit === probe).get(probe.key) ?? Infinity;
+    const atOnce = new Map<string, number>();
+    const waits = estimateWaits(part, this.estimateContext(), [probe], (unit) => unit === probe, atOnce);
+    const waitMs = waits.get(probe.key) ?? Infinity;
     const runMs = this.leader.history.expectS(job.spec) * 1000;
-    this.peers.send(query.from, { Answer: { id: query.id, part: part.id, waitMs, runMs, utilization: utilization(part) } });
+    const within = tasksWithin(job.spec, this.spareOf(part, job.spec.team));
+    this.peers.send(query.from, {
+      Answer: {
+        id: query.id,
+        part: part.id,
+        waitMs,
+        runMs,
+        utilization: utilization(part),
+        atOnce: Math.min(within, atOnce.get(probe.key) ?? 0),
+      },
+    });
+  }
+
+  /** Of the team's allotment in the part, what nothing uses. */
+  private spareOf(part: Part, team: string): Usage {
+    const held = this.allotments.held(part.id, team);
+    const used = usageOf(part, team);
+    return { cpus: held.cpus - used.cpus, gpus: held.gpus - used.gpus };
   }
 
   private onAnswer(answer: Answer): void {
@@ -196,8 +233,16 @@
     if (asking === null || asking.id !== id) return;
     this.asking = null;
     const { part, unit } = asking;
-    if (this.leader.parts.get(part.id) !== part || !this.movable(unit)) return;
+    if (this.leader.parts.get(part.id) !== part || !(this.movable(unit) || this.sliceable(unit))) return;
     const choice = best(asking.home, asking.bids, this.tuning.epsilon);
+    const soon = choice.waitMs < this.tuning.phi * 1000;
+    const most = this.sliceable(unit) && !(soon && this.movable(unit)) ? roomiest(asking.bids) : null;
+    if (most !== null) {
+      this.stats.slices++;
+      this.moveSlice(part, unit, most.part, most.atOnce);
+      return;
+    }
+    if (!this.movable(unit)) return;
     if (choice.part === part.id) {
       this.stats.home++;
       return;
@@ -227,6 +272,45 @@
     });
   }
 
+  /**
+   * The last of an array's waiting tasks, as many as the other part has room for,
+   * become a slice of their own there. Until the transaction's answer is certain
+   * they wait in neither part.
+   */
+  private moveSlice(part: Part, unit: Unit, to: number, room: number): void {
+    const whole = unit.hi;
+    const count = Math.min(room, tailOf(unit), whole - 1);
+    if (count <= 0) return;
+    const lo = whole - count;
+    const gone = unit.waiting.filter((task) => task >= lo);
+    unit.waiting = unit.waiting.filter((task) => task < lo);
+    const { ref } = unit.spec;
+    const key = keys.slice(ref, lo);
+    const draft = () => {
+      const entry = this.mirror.get<JobRecord>(unit.key);
+      if (entry === undefined || entry.v.part !== part.id || entry.v.end !== undefined || entry.v.hi !== whole) return null;
+      if (this.mirror.stamp(keys.owner(part.id)) !== part.term || this.mirror.get(key) !== undefined) return null;
+      const slice: SliceRecord = { ref, part: to, lo, hi: whole, done: "", moved: true };
+      return {
+        conditions: [
+          { k: unit.key, stamp: entry.stamp },
+          { k: keys.owner(part.id), stamp: part.term },
+          { k: key, stamp: 0 },
+        ],
+        apply: [
+          { write: unit.key, v: { ...entry.v, hi: lo } },
+          { write: key, v: slice },
+        ],
+      };
+    };
+    void this.committer.commit("slice", draft).then((outcome) => {
+      const moved = (this.mirror.get<JobRecord>(unit.key)?.v.hi ?? 0) <= lo;
+      if (!moved && !unit.ended) unit.waiting.push(...gone);
+      this.asked.delete(unit.key);
+      this.scope.log.debug({ part: part.id, to, job: ref, tasks: count, moved, outcome }, "slice moved");
+    });
+  }
+
   // ---- allotments
 
   private askAllotment(part: Part, team: string, want: Shortage): void {
@@ -246,11 +330,9 @@
   private onWant(want: Want): void {
     for (const part of this.leader.parts.values()) {
       if (part.id === want.part || part.phase !== "serving") continue;
-      const held = this.allotments.held(part.id, want.team);
-      const used = usageOf(part, want.team);
       // What waits here and has no room does not use the allotment either: a part that
       // has room for the team at this moment may have it.
-      const unused = { cpus: held.cpus - used.cpus, gpus: held.gpus - used.gpus };
+      const unused = this.spareOf(part, want.team);
       const free = { ...unused };
       for (const unit of part.units.values()) {
         if (unit.spec.team !== want.team) continue;
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -10,7 +10,7 @@
 import { RunHistory } from "../queue/estimate.js";
 import type { LocalOrder } from "../queue/order.js";
 import type { Shortage } from "../queue/pass.js";
-import { newUnit, type Unit } from "../queue/unit.js";
+import { newUnit, shorten, type Unit } from "../queue/unit.js";
 import type { Settings } from "../settings/derived.js";
 import { newMachine, type Machine, type Report } from "../workers/machine.js";
 import { dropAll, newFindings } from "../workers/reports.js";
@@ -229,6 +229,10 @@
         if (unit !== undefined && unit.placed.size === 0) removeUnit(part, unit);
         continue;
       }
+      if (unit !== undefined && entry.v.hi < unit.hi) {
+        shorten(unit, entry.v.hi);
+        if (unit.done.full) this.progress.record(part, unit);
+      }
       if (unit === undefined) {
         const bits = Bits.decode(entry.v.hi - lo, entry.v.done);
         const fresh = newUnit(key, job.spec, lo, entry.v.hi, bits, job.at, this.now);
--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -42,10 +42,10 @@
     return (this.led.types.find((type) => type.name === machine.type)?.bootS ?? 0) * 1000;
   }
 
-  /** Half of the time in which tasks of the class should start; without such an aim, a lease. */
+  /** The time in which tasks of the class should start; without such an aim, two leases. */
   private reserveAfterMs(klass: string): number {
     const aim = aimS(this.led.settings.platform, "wait", klass);
-    return Number.isFinite(aim) ? (aim * 1000) / 2 : this.led.settings.timing.leaseMs;
+    return Number.isFinite(aim) ? aim * 1000 : this.led.settings.timing.leaseMs * 2;
   }
 
   /** What each team uses in the parts this node leads. */
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -23,6 +23,7 @@
   waitMs: number;
   runMs: number;
   utilization: number;
+  atOnce: number;
 }
 export interface Want {
   part: number;
@@ -101,6 +102,7 @@
             ["waitMs", "double"],
             ["runMs", "double"],
             ["utilization", "double"],
+            ["atOnce", "int"],
           ]),
           record("Want", [
             ["part", "int"],
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -133,12 +133,14 @@
  * the slices asked for (`wanted`; all if not given); infinite if the part cannot
  * hold it. What is behind the last of them in the queue does not matter, and once
  * all are known nothing more is played: a burst must not make every question dear.
+ * `atOnce` is told how many tasks there is room for now of those that have to wait.
  */
 export function estimateWaits(
   part: Part,
   context: EstimateContext,
   extra: Unit[] = [],
   wanted: ((unit: Unit) => boolean) | null = null,
+  atOnce: Map<string, number> = new Map(),
 ): Map<string, number> {
   const { now, history } = context;
   const moment = context.silentMs * MOMENT;
@@ -213,6 +215,7 @@
     return true;
   };
   left = left.filter((entry) => !settle(entry, now, rooms));
+  for (const entry of left) atOnce.set(entry.unit.key, entry.unit.waiting.length - entry.tasks);
   const soft = new SoftRooms(part, rooms, context);
   left = left.filter((entry) => {
     if (!soft.makeRoom(entry.unit, entry.tasks)) return true;
--- a/src/queue/reserve.ts
+++ b/src/queue/reserve.ts
@@ -10,7 +10,7 @@
   expectS: (unit: Unit) => number;
   /** When a machine that is not up should be. */
   bootMs: (machine: Machine) => number;
-  /** How long a gang of the class waits before room is kept for it. */
+  /** How long a wide gang of the class waits before room is kept for it. */
   reserveAfterMs: (klass: string) => number;
 }
 
@@ -47,6 +47,21 @@
   return list;
 }
 
+/**
+ * A wide gang keeps room from several narrow ones, so it must have waited longer:
+ * a gang as wide as those that wait for the same, half of the time.
+ */
+function width(part: Part, unit: Unit): number {
+  let tasks = 0;
+  let gangs = 0;
+  for (const { spec, waiting } of part.units.values()) {
+    if (spec.kind !== "gang" || spec.klass !== unit.spec.klass || waiting.length === 0) continue;
+    tasks += spec.tasks;
+    gangs++;
+  }
+  return gangs === 0 ? 1 : Math.min(1, unit.spec.tasks / (2 * (tasks / gangs)));
+}
+
 /**
  * Backfilling as it should be: small jobs take whatever comes free, so a gang
  * that needs much at once would see machine after machine go to them and never
@@ -56,7 +71,7 @@
 export function reserve(part: Part, unit: Unit, slots: Slot[], context: ReserveContext): Reservation | null {
   const { spec } = unit;
   const { now } = context;
-  if (spec.spread || now - unit.arrivedAt < context.reserveAfterMs(spec.klass)) return null;
+  if (spec.spread || now - unit.arrivedAt < context.reserveAfterMs(spec.klass) * width(part, unit)) return null;
   const free = new Map(slots.map((slot) => [slot.machine, slot]));
   const byZone = new Map<string, { have: number; kept: Slot[]; gains: Gain[] }>();
   for (const machine of part.machines.values()) {
--- a/src/queue/unit.ts
+++ b/src/queue/unit.ts
@@ -111,3 +111,19 @@
   if (unit.spec.kind === "gang") for (let i = 0; i < unit.hi - unit.lo; i++) markDone(unit, i);
   else markDone(unit, task);
 }
+
+/** How many of the last tasks wait, none of them placed or done. */
+export function tailOf(unit: Unit): number {
+  let n = 0;
+  for (let task = unit.hi - unit.lo - 1; task >= 0 && !unit.placed.has(task) && !unit.done.has(task); task--) n++;
+  return Math.min(n, unit.waiting.length);
+}
+
+/** The tasks from `hi` on have become a slice of their own. */
+export function shorten(unit: Unit, hi: number): void {
+  unit.hi = hi;
+  unit.waiting = unit.waiting.filter((task) => task < hi - unit.lo);
+  const done = new Bits(hi - unit.lo);
+  done.merge(unit.done);
+  unit.done = done;
+}
--- a/src/status/metrics.ts
+++ b/src/status/metrics.ts
@@ -51,6 +51,7 @@
     gauge("moves_home_total", "Jobs asked about that stayed home", () => exchange.stats.home);
     gauge("moves_volunteer_total", "Jobs moved to volunteers", () => exchange.stats.volunteer);
     gauge("moves_asked_total", "Jobs moved after asking every peer", () => exchange.stats.asked);
+    gauge("slices_moved_total", "Slices of arrays moved to parts with room", () => exchange.stats.slices);
     gauge("queries_total", "Queries sent to other parts", () => exchange.stats.queries);
     gauge("hired_total", "Machines rented", () => fleet.stats.hired);
     gauge("returned_total", "Machines returned", () => fleet.stats.returned);
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -5,7 +5,7 @@
 const messages: Message[] = [
   { Hello: { version: 1, node: "nest-0" } },
   { Volunteer: { part: 1, utilization: 0.25 } },
-  { Answer: { id: 7, part: 2, waitMs: Infinity, runMs: 1000, utilization: 1 } },
+  { Answer: { id: 7, part: 2, waitMs: Infinity, runMs: 1000, utilization: 1, atOnce: 3 } },
   { Relay: { id: 1, kind: "poll", body: '"run-000001"' } },
 ];
 
