Let guaranteed work wait half its aim before others are stopped for it

Change: stops begin after half of the guarantee's aim, and work that saves and has just started is stopped last.

--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -48,6 +48,12 @@
     return Number.isFinite(aim) ? aim * 1000 : this.led.settings.timing.leaseMs * 2;
   }
 
+  /** Half of the time in which work within a guarantee should start; without such an aim, half a lease. */
+  private claimAfterMs(): number {
+    const aim = aimS(this.led.settings.platform, "guarantee", undefined);
+    return (Number.isFinite(aim) ? aim * 1000 : this.led.settings.timing.leaseMs) / 2;
+  }
+
   /** What each team uses in the parts this node leads. */
   use(): TeamUse[] {
     const sum = new Map<string, TeamUse>();
@@ -67,6 +73,7 @@
     const claims = {
       guaranteed: (unit: Unit) => this.guarantees.within(unit.spec.ref),
       excess: this.guarantees.excess(this.use()),
+      claimAfterMs: this.claimAfterMs(),
     };
     for (const part of this.led.parts.values()) {
       const context = {
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -7,6 +7,8 @@
 
 export interface PreemptContext extends PassContext {
   guaranteed: (unit: Unit) => boolean;
+  /** How long work within a guarantee waits for what comes free by itself. */
+  claimAfterMs: number;
   /** What each team runs beyond its guarantee, over all parts. */
   excess: Map<string, Usage>;
   /** How long a job waits, so that the exchange may find it room elsewhere, before others are stopped for it. */
@@ -21,6 +23,15 @@
   return checkpointS > 0 ? Math.min(ran, flushS) : ran;
 }
 
+/** A start is of no use to anybody if the task is stopped this soon after (PROTOCOL). */
+const START_COUNTS_S = 30;
+
+/** Of work that can save, what has just started is stopped last. */
+function freshly(placement: Placement, now: number): number {
+  const { runningAt, unit } = placement;
+  return unit.spec.checkpointS > 0 && (runningAt === null || now - runningAt < START_COUNTS_S * 1000) ? 1 : 0;
+}
+
 /**
  * What may be stopped on each machine, put in order once a pass: every job that
  * waits looks at every machine, and sorting anew each time does not scale.
@@ -38,6 +49,7 @@
         .sort(
           (a, b) =>
             rank(b.unit.spec.urgency) - rank(a.unit.spec.urgency) ||
+            freshly(a, this.now) - freshly(b, this.now) ||
             b.unit.submittedWall - a.unit.submittedWall ||
             lostS(a, this.now) - lostS(b, this.now),
         );
@@ -118,7 +130,7 @@
     const isGang = spec.kind === "gang";
     const wanted = Math.min(unit.waiting.length, room);
     // Room is only taken during a pass: what did not fit one job does not fit its like.
-    const claims = context.guaranteed(unit);
+    const claims = context.guaranteed(unit) && now - unit.arrivedAt >= context.claimAfterMs;
     const shape = `${spec.urgency}|${claims ? spec.team : ""}|${unit.shape}`;
     const mayStop = (p: Placement): boolean => stoppable(p, unit) || (claims && beyond(p, unit, excess));
     const least = isGang ? wanted : 1;
--- a/src/settings/derived.ts
+++ b/src/settings/derived.ts
@@ -60,7 +60,7 @@
 }
 
 /** The least time the objectives of a kind allow a class; infinite: none. */
-export function aimS(platform: PlatformSettings, kind: string, klass: string): number {
+export function aimS(platform: PlatformSettings, kind: string, klass: string | undefined): number {
   let least = Infinity;
   for (const aim of platform.deployment.objectives) {
     if (aim.kind === kind && aim.class === klass && aim.within_s !== undefined) least = Math.min(least, aim.within_s);
--- a/test/growth.test.ts
+++ b/test/growth.test.ts
@@ -2,22 +2,16 @@
 import { test } from "node:test";
 import { planHires } from "../src/fleet/plan.js";
 import type { MachineType } from "../src/fleet/cloud-client.js";
-import type { JobSpec } from "../src/ledger/records.js";
-import { addUnit, newPart, nextAttempt, usageByTeam, type Part } from "../src/parts/part.js";
-import { Bits } from "../src/platform/bits.js";
+import { nextAttempt, usageByTeam, type Part } from "../src/parts/part.js";
 import { estimateWaits, RunHistory, type EstimateContext } from "../src/queue/estimate.js";
-import { localOrder } from "../src/queue/order.js";
-import { runPass, type PassContext } from "../src/queue/pass.js";
-import { newUnit, type Unit } from "../src/queue/unit.js";
-import { newMachine, type Capacity, type Machine } from "../src/workers/machine.js";
+import { runPass } from "../src/queue/pass.js";
 import { newFindings, takeReport } from "../src/workers/reports.js";
+import { NOW, order, partOf, pass, queueUp, specOf, unlimited } from "./world/parts.js";
 
 // Hundreds of machines report every few seconds to controllers with a fifth of a
 // core. These tests count how often machines are looked at, so that work which
 // grows with machines times tasks shows up the same way on every computer.
 
-const NOW = 1000;
-
 class CountingMap<K, V> extends Map<K, V> {
   walks = 0;
   override values(): MapIterator<V> {
@@ -30,78 +24,6 @@
   }
 }
 
-function specOf(change: Partial<JobSpec>): JobSpec {
-  return {
-    ref: "run-000001",
-    klass: "c",
-    team: "ops",
-    kind: "array",
-    urgency: "normal",
-    tasks: 1,
-    cpus: 1,
-    gpus: 0,
-    ram: 1,
-    types: null,
-    zone: null,
-    oneZone: false,
-    spread: false,
-    spot: false,
-    image: "img",
-    imageGb: 1,
-    guessS: 60,
-    checkpointS: 0,
-    flushS: 0,
-    deadlineS: null,
-    ...change,
-  };
-}
-
-const order = localOrder({
-  mode: "urgency",
-  nowWall: NOW,
-  finishS: () => Infinity,
-  expectS: () => 60,
-  guaranteed: () => false,
-});
-const unlimited = (): { cpus: number; gpus: number } => ({ cpus: Infinity, gpus: Infinity });
-
-const pass: PassContext = {
-  now: NOW,
-  silentMs: 5000,
-  order,
-  backfill: true,
-  allotment: unlimited,
-  expectS: (unit) => unit.spec.guessS,
-  bootMs: () => 10_000,
-  reserveAfterMs: () => 500,
-};
-
-/** A part of `n` machines that counts each look at a machine's images, taken once a judgement. */
-function partOf(n: number, capacity: Capacity): { part: Part; looks: () => number } {
-  const part = newPart(0, 5, 0);
-  part.phase = "serving";
-  let looks = 0;
-  for (let i = 0; i < n; i++) {
-    const machine: Machine = newMachine(`i-${i}`, "m", "a", false, capacity, 0);
-    Object.assign(machine, { up: true, fenced: true, heardAt: NOW, session: 1, token: 5, books: part.usage });
-    const images = new Set<string>();
-    Object.defineProperty(machine, "images", {
-      get: () => {
-        looks++;
-        return images;
-      },
-    });
-    part.machines.set(machine.host, machine);
-  }
-  return { part, looks: () => looks };
-}
-
-function queueUp(part: Part, spec: JobSpec): Unit {
-  const unit = newUnit(`t/j/${spec.ref}`, spec, 0, spec.tasks, new Bits(spec.tasks), 0, 0);
-  addUnit(part, unit);
-  return unit;
-}
-
 test("placing an array looks at machines once for each machine filled, not once for each task", () => {
   const { part, looks } = partOf(100, { cpus: 8, gpus: 0, ram: 64 });
   const unit = queueUp(part, specOf({ tasks: 800 }));
--- /dev/null
+++ b/test/guarantees.test.ts
@@ -0,0 +1,51 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { JobRecord, JobSpec } from "../src/ledger/records.js";
+import { grant } from "../src/parts/guarantees.js";
+import { runPass } from "../src/queue/pass.js";
+import { choosePreemptions } from "../src/queue/preempt.js";
+import type { Unit } from "../src/queue/unit.js";
+import { partOf, pass, queueUp, specOf } from "./world/parts.js";
+
+const teams = [
+  { name: "ops", cpus: 0, cpus_max: 0, gpus: 10, gpus_max: 40 },
+  { name: "lab", cpus: 0, cpus_max: 0, gpus: 4, gpus_max: 40 },
+];
+
+function job(ref: string, at: number, change: Partial<JobSpec>): JobRecord {
+  return { spec: specOf({ ref, gpus: 1, ...change }), part: 0, hi: 1, done: "", at };
+}
+
+test("jobs that fit their team's guarantee with its earlier unfinished ones are within it", () => {
+  const jobs = [
+    job("c", 3, { tasks: 3 }),
+    job("a", 1, { tasks: 6 }),
+    job("b", 2, { tasks: 3 }),
+    job("d", 0, { tasks: 9, team: "lab" }),
+    job("e", 0, { tasks: 2, gpus: 0 }),
+  ];
+  assert.deepEqual([...grant(jobs, teams, new Set())].sort(), ["a", "b"]);
+  // An earlier one has ended: the next moves up; what was granted stays granted.
+  jobs[1]!.end = "done";
+  assert.deepEqual([...grant(jobs, teams, new Set(["b"]))].sort(), ["b", "c"]);
+});
+
+test("work beyond another team's guarantee is stopped for a guaranteed job, and no more than that", () => {
+  const { part } = partOf(2, { cpus: 8, gpus: 4, ram: 64 });
+  const borrowing = queueUp(part, specOf({ ref: "run-000001", team: "lab", tasks: 8, gpus: 1, checkpointS: 10, flushS: 2 }));
+  runPass(part, pass);
+  assert.equal(borrowing.waiting.length, 0);
+  const claim = queueUp(part, specOf({ ref: "run-000002", team: "ops", tasks: 6, gpus: 1 }));
+  const context = { ...pass, patienceMs: 0, claimAfterMs: 500, excess: new Map([["lab", { cpus: 0, gpus: 4 }]]) };
+  const stopped = (guaranteed: (unit: Unit) => boolean): number => choosePreemptions(part, { ...context, guaranteed }).length;
+  assert.equal(
+    stopped(() => false),
+    0,
+  );
+  assert.equal(
+    stopped((unit) => unit === claim),
+    4,
+  );
+  // What comes free by itself is waited for first.
+  assert.equal(choosePreemptions(part, { ...context, claimAfterMs: 5000, guaranteed: (unit) => unit === claim }).length, 0);
+});
