Do not let a machine that is gone hold up a takeover; say why requests are not taken

Ruled out: writes, processor time (other parts were fenced in 200 ms). Change: a machine unheard of for a quarter of a lease during fencing is deleted, if those are at most a tenth of the part's.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -21,6 +21,9 @@
 /** However cheap it is, a machine nobody uses goes back in the end. */
 const MOST_CHEAPNESS = 8;
 
+/** Of a part's machines, how many may be given up to have it place again. */
+const UNHEARD_SHARE = 0.1;
+
 /** Reports for which an offer counts as sought: then whoever seeks it has asked again. */
 const SOUGHT_REPORTS = 3;
 
@@ -229,6 +232,7 @@
     const { idle_per_boot, late_per_boot } = this.settings.operators.fleet;
     const bootMs = type.bootS * 1000;
     if (machine.lost) return "lost";
+    if (this.holdsUpFence(part, machine)) return "unheard while fencing";
     if (!machine.up)
       return now - machine.hiredAt > Math.max(bootMs * late_per_boot, this.settings.timing.leaseMs) && machine.heardAt === -Infinity
         ? "never came up"
@@ -245,6 +249,19 @@
     return null;
   }
 
+  /**
+   * A machine that has shown no sign of the new term keeps the whole part from
+   * placing until its lease is surely over, which may take two leases: most often
+   * it is gone already. What is deleted is proven gone. If many are unheard, it is
+   * this node that cannot reach them, so they are left alone.
+   */
+  private holdsUpFence(part: Part, machine: Machine): boolean {
+    if (part.phase !== "fencing" || machine.fenced || this.scope.clock.now() - part.since < this.settings.timing.leaseMs / 4) return false;
+    let unheard = 0;
+    for (const other of part.machines.values()) if (!other.fenced) unheard++;
+    return unheard <= part.machines.size * UNHEARD_SHARE;
+  }
+
   /** How much cheaper than the dearest machine this one is: the cheap may idle longer. */
   private cheapness(machine: Machine): number {
     const dearest = Math.max(...this.leader.types.map((t) => t.price));
--- a/src/intake/server.ts
+++ b/src/intake/server.ts
@@ -9,6 +9,8 @@
   /** Null: this node can take requests; otherwise why it cannot. */
   unready: () => string | null;
   count: (status: number) => void;
+  /** Requests that were not taken, and why. */
+  shed: (path: string, status: number, why: unknown) => void;
   view: () => Record<string, unknown>;
   metrics: () => Promise<string>;
 }
@@ -23,6 +25,7 @@
 
   const send = (res: HttpResponse, answer: Response): void => {
     door.count(answer.status);
+    if (answer.retryAfterS !== undefined) door.shed(`${res.req.method} ${res.req.path}`, answer.status, answer.body["error"]);
     if (answer.retryAfterS !== undefined) res.set("retry-after", String(answer.retryAfterS));
     res.status(answer.status).json(answer.body);
   };
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -37,6 +37,7 @@
     relay: controller.relay,
     unready: () => controller.unready(),
     count: (status) => metrics.countAnswer(status),
+    shed: (path, status, why) => log.debug({ path, status, why }, "not taken"),
     view: () => clusterView(controller),
     metrics: () => metrics.text(),
   });
