Count wide gangs as later, as large arrays are

Conclusion: kept for now; the cause of the late ones is where they wait (next rounds), not their order.

--- a/src/queue/order.ts
+++ b/src/queue/order.ts
@@ -29,7 +29,7 @@
 /** Longer than anything waits: what is guaranteed comes before the rest of its priority. */
 const AGES_MS = 1e9;
 
-/** Tasks of an array that may be expected to run at the same time. */
+/** Tasks that may be expected to run at the same time; a wider gang takes as much as several. */
 const USUAL_WIDTH = 4;
 
 /**
@@ -46,8 +46,7 @@
       const within = context.mode === "aims" ? context.finishS(unit.spec.klass) : Infinity;
       if (!Number.isFinite(within)) return unit.submittedWall;
       const run = context.expectS(unit);
-      const width = unit.spec.kind === "gang" ? unit.spec.tasks : USUAL_WIDTH;
-      const work = run * Math.ceil(unit.waiting.length / width);
+      const work = run * Math.ceil(unit.waiting.length / USUAL_WIDTH);
       const late = (context.nowWall - unit.submittedWall) / 1000 + run > within;
       return unit.submittedWall + 1000 * (Math.min(work, within) + (late ? within : 0));
     },
