--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -14,7 +14,7 @@
 import type { Shortage } from "../queue/pass.js";
 import { inOrder } from "../queue/order.js";
 import { newUnit, tailOf, type Unit } from "../queue/unit.js";
-import type { Settings } from "../settings/derived.js";
+import { aimS, type Settings } from "../settings/derived.js";
 import { best, roomiest, type Bid } from "./choice.js";
 
 interface Asking {
@@ -127,7 +127,9 @@
 
   /** Waiting tasks at the end of an array may go elsewhere though the rest has started here. */
   private sliceable(unit: Unit): boolean {
-    const { kind, oneZone, spread } = unit.spec;
+    const { kind, oneZone, spread, klass } = unit.spec;
+    // What is late already would take room from what can still start in time.
+    if (this.scope.clock.wall() - unit.submittedWall > aimS(this.settings.platform, "wait", klass) * 1000) return false;
     return kind === "array" && !oneZone && !spread && !unit.moved && !unit.ended && !unit.leaving && unit.lo === 0 && tailOf(unit) > 0;
   }
 
