--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -219,7 +219,7 @@
           apply: [hosts.length === 0 ? { remove: key } : { write: key, v: value }],
         };
       },
-      { first: true },
+      { turn: "soon" },
     );
   }
 
--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -90,7 +90,7 @@
             this.mirror.get(keys.job(spec.ref)) !== undefined
               ? null
               : { conditions: [...records.keys()].map((k) => ({ k, stamp: 0 })), apply: [...records].map(([write, v]) => ({ write, v })) },
-          { shedAfterMs, first: true },
+          { shedAfterMs, turn: "now" },
         )
         .then((result) => (outcome = result)),
       shedAfterMs * 1.5,
@@ -163,7 +163,7 @@
             apply: [{ write: key, v: { ...entry.v, end: "withdrawn" } satisfies JobRecord }],
           };
         },
-        { shedAfterMs: stateTimeoutMs, first: true },
+        { shedAfterMs: stateTimeoutMs, turn: "now" },
       ),
       stateTimeoutMs * 1.5,
     );
--- a/src/ledger/committer.ts
+++ b/src/ledger/committer.ts
@@ -24,10 +24,17 @@
   /** Sent at least once without a definite answer: may still apply late. */
   inDoubt: boolean;
   shedAt: number;
-  first: boolean;
+  rank: number;
   alone: boolean;
 }
 
+/**
+ * Whose turn it is when writes are scarce, as after an outage: users and claims of
+ * parts wait for nobody; what work hangs on comes before mere bookkeeping.
+ */
+export type Turn = "now" | "soon" | "later";
+const RANK: Record<Turn, number> = { now: 0, soon: 1, later: 2 };
+
 const MAX_QUEUE = 2000;
 const MAX_BODY = 60 * 1024;
 
@@ -56,16 +63,20 @@
     return this.queue.length;
   }
 
-  /** `alone`: shares its transaction, hence its stamp, with nothing else. `shedAfterMs`: give up if it could not be sent by then. `first`: before others. */
-  commit(
-    label: string,
-    draft: () => Draft | null,
-    options: { shedAfterMs?: number; first?: boolean; alone?: boolean } = {},
-  ): Promise<Outcome> {
+  /** `alone`: shares its transaction, hence its stamp, with nothing else. `shedAfterMs`: give up if it could not be sent by then. `turn`: `later` if not given. */
+  commit(label: string, draft: () => Draft | null, options: { shedAfterMs?: number; turn?: Turn; alone?: boolean } = {}): Promise<Outcome> {
     return new Promise((resolve) => {
       if (this.queue.length >= MAX_QUEUE) return resolve("shed");
       const shedAt = options.shedAfterMs === undefined ? Infinity : this.clock.now() + options.shedAfterMs;
-      this.queue.push({ label, draft, resolve, inDoubt: false, shedAt, first: options.first === true, alone: options.alone === true });
+      this.queue.push({
+        label,
+        draft,
+        resolve,
+        inDoubt: false,
+        shedAt,
+        rank: RANK[options.turn ?? "later"],
+        alone: options.alone === true,
+      });
       if (!this.running) void this.run();
     });
   }
@@ -88,7 +99,9 @@
       return false;
     });
     if (!this.mirror.loaded) return sleep(this.clock, this.limits.retryMs);
-    const batch = this.assemble();
+    // As many changes as there are writes for now: waiting until all that piled up
+    // fits would keep the most urgent change waiting with it.
+    const batch = this.assemble(Math.min(this.limits.txnOps, Math.floor(this.writes.available())));
     if (batch === null) return;
     const wait = Math.max(this.requests.waitMs(1), this.writes.waitMs(batch.apply.length));
     if (wait > 0) {
@@ -120,6 +133,8 @@
         return sleep(this.clock, this.limits.retryMs);
       }
       if (!(error instanceof NoReply)) throw error;
+      // Not executed, so not counted either: without this an outage ends with nothing left to write with.
+      if (error.kind === "refused") this.writes.give(batch.apply.length);
       if (error.kind === "unanswered") {
         this.stats.unanswered++;
         for (const intent of batch.intents) intent.inDoubt = true;
@@ -137,16 +152,16 @@
     }
   }
 
-  private assemble(): { conditions: Condition[]; apply: Op[]; intents: Intent[] } | null {
+  private assemble(room: number): { conditions: Condition[]; apply: Op[]; intents: Intent[] } | null {
     const conditions = new Map<string, number>();
     const written = new Set<string>();
     const apply: Op[] = [];
     const intents: Intent[] = [];
     let bytes = 64;
-    const ordered = this.queue.some((i) => i.first) ? [...this.queue].sort((a, b) => Number(b.first) - Number(a.first)) : this.queue;
+    const ordered = [...this.queue].sort((a, b) => a.rank - b.rank);
     const settled = new Set<Intent>();
     for (const intent of ordered) {
-      if (apply.length >= this.limits.txnOps) break;
+      if (apply.length >= Math.max(1, room)) break;
       if (intent.alone && intents.length > 0) continue;
       const draft = intent.draft();
       if (draft === null) {
@@ -159,7 +174,8 @@
         draft.conditions.some((c) => written.has(c.k) || (conditions.has(c.k) && conditions.get(c.k) !== c.stamp)) ||
         draft.apply.some((op) => conditions.has("write" in op ? op.write : op.remove));
       const merged = new Set([...conditions.keys(), ...draft.conditions.map((c) => c.k)]).size;
-      if (clash || apply.length + draft.apply.length > this.limits.txnOps || merged > 4 * this.limits.txnOps || bytes + size > MAX_BODY) {
+      const most = intents.length === 0 ? this.limits.txnOps : room;
+      if (clash || apply.length + draft.apply.length > most || merged > 4 * this.limits.txnOps || bytes + size > MAX_BODY) {
         if (intents.length === 0 && !clash) {
           this.log.error({ intent: intent.label }, "an intent exceeds a transaction's limits");
           settled.add(intent);
--- a/src/parts/came-up.ts
+++ b/src/parts/came-up.ts
@@ -46,7 +46,7 @@
         apply: [{ write: key, v: { ...entry.v, hosts } satisfies RentalRecord }],
       };
     };
-    void this.committer.commit("up", draft, { first: true }).then((outcome) => {
+    void this.committer.commit("up", draft, { turn: "soon" }).then((outcome) => {
       this.pending.delete(key);
       if (outcome === "shed") return;
       // Those that came up while the write was under way.
--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -131,7 +131,7 @@
     // Alone: the stamp is the term, and two parts taken in one transaction would
     // share it, with attempts and tokens that cannot be told apart.
     void this.committer
-      .commit("claim", draft, { first: true, alone: true, shedAfterMs: this.settings.timing.presenceMs })
+      .commit("claim", draft, { turn: "now", alone: true, shedAfterMs: this.settings.timing.presenceMs })
       .then((outcome) => {
         this.claiming.delete(part);
         if (outcome === "done") this.scope.log.info({ part, reason, term: this.mirror.stamp(key), former: before?.v.owner }, "part taken");
--- a/src/parts/progress.ts
+++ b/src/parts/progress.ts
@@ -58,7 +58,7 @@
         apply: [{ write: unit.key, v: value }],
       };
     };
-    void this.committer.commit("done", draft, { first: unit.done.full }).then((outcome) => {
+    void this.committer.commit("done", draft, { turn: unit.done.full ? "soon" : "later" }).then((outcome) => {
       unit.committing = false;
       if (outcome === "done") {
         this.led.scope.log.debug({ part: part.id, job: ref, done: unit.done.count, of: unit.hi - unit.lo }, "progress recorded");
--- a/src/platform/rate.ts
+++ b/src/platform/rate.ts
@@ -39,6 +39,12 @@
     return missing <= 0 ? 0 : (missing / this.perSecond) * 1000 + 1;
   }
 
+  /** What was taken was not used after all. */
+  give(count: number): void {
+    this.refill();
+    this.tokens = Math.min(this.burst, this.tokens + count);
+  }
+
   /** The service on the other side says it has had enough. */
   drain(): void {
     this.refill();
