Expect tasks that outran their estimate to go on, not to end at once

Every task past its expected run time was taken to end within a second, and at any moment a third of them are, so a full part seemed about to be free: jobs moved there and stayed put, or stayed home. Ruled out: the one outstanding query (343 moves, asked in the queue's order), the limits of the teams (half of them unused). Change: what is left of a task follows from how much the class's run times spread.

--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -83,6 +83,7 @@
         backfill,
         allotment: (team: string) => this.allotments.held(part.id, team),
         expectS: (unit: Unit) => this.led.history.expectS(unit.spec),
+        leftS: (unit: Unit, ranS: number) => this.led.history.leftS(unit.spec, ranS),
         bootMs: (machine: Machine) => this.bootMs(machine),
         reserveAfterMs: (klass: string) => this.reserveAfterMs(klass),
       };
--- a/src/parts/watch.ts
+++ b/src/parts/watch.ts
@@ -64,7 +64,8 @@
       const flushMs = spec.flushS * 1000;
       const isService = spec.kind === "service";
       if (!isService && (machine.noticeAt === null || spec.checkpointS <= 0)) continue;
-      const runLeftMs = this.led.history.expectS(spec) * 1000 - (this.led.now - (placement.runningAt ?? this.led.now));
+      const ranS = (this.led.now - (placement.runningAt ?? this.led.now)) / 1000;
+      const runLeftMs = this.led.history.leftS(spec, ranS) * 1000;
       const now = isService || (leftMs < flushMs + 2 * reportMs && leftMs > flushMs && runLeftMs > leftMs);
       if (!now) continue;
       // All of a gang must be told within `gang_peer_s` of the first, or the save fails.
--- a/src/queue/reserve.ts
+++ b/src/queue/reserve.ts
@@ -8,6 +8,8 @@
   silentMs: number;
   /** Expected run time of a job's tasks. */
   expectS: (unit: Unit) => number;
+  /** What is left of one that has run for so long. */
+  leftS: (unit: Unit, ranS: number) => number;
   /** When a machine that is not up should be. */
   bootMs: (machine: Machine) => number;
   /** How long a wide gang of the class waits before room is kept for it. */
@@ -33,7 +35,7 @@
   const ends = [...machine.placements.values()]
     .map(({ unit: other, runningAt }) => ({
       spec: other.spec,
-      at: context.now + Math.max(1000, context.expectS(other) * 1000 - (runningAt === null ? 0 : context.now - runningAt)),
+      at: context.now + context.leftS(other, runningAt === null ? 0 : (context.now - runningAt) / 1000) * 1000,
     }))
     .sort((a, b) => a.at - b.at);
   for (const { spec, at } of ends) {
--- a/test/growth.test.ts
+++ b/test/growth.test.ts
@@ -108,6 +108,17 @@
   assert.equal(long.waiting.length, 0);
 });
 
+test("a task that has outrun what was expected is not taken to end at once", () => {
+  const history = new RunHistory("learned");
+  const spec = specOf({ guessS: 100 });
+  assert.equal(history.leftS(spec, 40), 60);
+  assert.ok(history.leftS(spec, 100) > 20);
+  // A class whose tasks run as guessed to the second has hardly any spread.
+  for (let i = 0; i < 200; i++) history.note(spec, 100);
+  assert.ok(history.leftS(spec, 100) < 5);
+  assert.equal(Math.round(history.expectS(spec)), 100);
+});
+
 const type: MachineType = {
   name: "m",
   cpus: 16,
--- a/test/world/parts.ts
+++ b/test/world/parts.ts
@@ -51,6 +51,7 @@
   backfill: true,
   allotment: unlimited,
   expectS: (unit) => unit.spec.guessS,
+  leftS: (unit, ranS) => Math.max(1, unit.spec.guessS - ranS),
   bootMs: () => 10_000,
   reserveAfterMs: () => 500,
 };
