--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -33,6 +33,7 @@
       mode: this.led.settings.operators.queue.order,
       nowWall: this.led.scope.clock.wall(),
       finishS: (klass) => aimS(this.led.settings.platform, "finished", klass),
+      startS: (klass) => aimS(this.led.settings.platform, "wait", klass),
       expectS: (unit) => this.led.history.expectS(unit.spec),
       guaranteed: (unit) => this.guarantees.within(unit.spec.ref),
     });
--- a/src/queue/order.ts
+++ b/src/queue/order.ts
@@ -21,6 +21,8 @@
   nowWall: number;
   /** Within how many seconds jobs of a class should be done; infinite: no such aim. */
   finishS: (klass: string) => number;
+  /** Within how many seconds they should start; infinite: no such aim. */
+  startS: (klass: string) => number;
   expectS: (unit: Unit) => number;
   /** Within its team's guarantee: such work need not wait for other teams. */
   guaranteed: (unit: Unit) => boolean;
@@ -34,9 +36,11 @@
 
 /**
  * First come within a priority. With `aims`, among classes that should be done
- * in time, a large job counts as having come later by the time its work takes, so
- * that several small ones make it instead; and one that can no longer make it
- * yields to those that can. Both are bounded: nothing waits for ever.
+ * in time, a large job counts as having come later, so that several small ones make
+ * it instead: by the time its work takes, the less for each further task, up to the
+ * time in which it should be done. What is late for its start yields by as much as
+ * that aim to what can still make it, and what can no longer be done in time by as
+ * much as the other. All are bounded: nothing waits for ever.
  */
 export function localOrder(context: OrderContext): LocalOrder {
   return {
@@ -47,8 +51,10 @@
       if (!Number.isFinite(within)) return unit.submittedWall;
       const run = context.expectS(unit);
       const work = run * Math.ceil(unit.waiting.length / USUAL_WIDTH);
-      const late = (context.nowWall - unit.submittedWall) / 1000 + run > within;
-      return unit.submittedWall + 1000 * (Math.min(work, within) + (late ? within : 0));
+      const age = (context.nowWall - unit.submittedWall) / 1000;
+      const start = context.startS(unit.spec.klass);
+      const large = (within * work) / (work + within);
+      return unit.submittedWall + 1000 * (large + (age > start ? start : 0) + (age + run > within ? within : 0));
     },
   };
 }
--- a/test/world/parts.ts
+++ b/test/world/parts.ts
@@ -39,6 +39,7 @@
   mode: "urgency",
   nowWall: NOW,
   finishS: () => Infinity,
+  startS: () => Infinity,
   expectS: () => 60,
   guaranteed: () => false,
 });
