--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -21,6 +21,9 @@
 /** However cheap it is, a machine nobody uses goes back in the end. */
 const MOST_CHEAPNESS = 8;
 
+/** Of the time a machine may idle, what is left if it is sought: handing it over costs a boot. */
+const SOUGHT_PATIENCE = 0.5;
+
 /** Of a part's machines, how many may be given up to have it place again. */
 const UNHEARD_SHARE = 0.1;
 
@@ -244,8 +247,8 @@
     if (needed.has(machine.host)) return null;
     // Work waits in another part for a machine like this one, and there are no more to rent.
     const sought = now < (this.sought.get(offerName(machine)) ?? -Infinity);
-    if (sought && part.phase === "serving" && now - machine.idleSince > this.settings.timing.reportMs) return "sought by another part";
-    if (part.phase === "serving" && now - machine.idleSince > bootMs * idle_per_boot * this.cheapness(machine)) return "idle";
+    const idleMs = bootMs * idle_per_boot * this.cheapness(machine) * (sought ? SOUGHT_PATIENCE : 1);
+    if (part.phase === "serving" && now - machine.idleSince > idleMs) return sought ? "sought by another part" : "idle";
     return null;
   }
 
--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -8,6 +8,9 @@
 import type { Guarantees, TeamUse } from "./guarantees.js";
 import type { Led } from "./led.js";
 
+/** Passes over no more machines than this come as often as events do. */
+const FEW_MACHINES = 20;
+
 /** Placement passes over the parts this node leads. */
 export class Placing {
   private due = false;
@@ -22,12 +25,19 @@
   wake(): void {
     if (this.due) return;
     this.due = true;
-    this.led.scope.clock.after(this.led.settings.timing.passGapMs, () => {
+    this.led.scope.clock.after(this.gapMs(), () => {
       this.due = false;
       if (!this.led.scope.closed) this.pass();
     });
   }
 
+  /** A pass costs in proportion to the machines looked at, so over many it comes less often. */
+  private gapMs(): number {
+    let machines = 0;
+    for (const part of this.led.parts.values()) machines += part.machines.size;
+    return this.led.settings.timing.passGapMs * Math.max(1, machines / FEW_MACHINES);
+  }
+
   order(): LocalOrder {
     return localOrder({
       mode: this.led.settings.operators.queue.order,
--- a/src/settings/derived.ts
+++ b/src/settings/derived.ts
@@ -18,7 +18,7 @@
   contactMs: number;
   stateTimeoutMs: number;
   workerTimeoutMs: number;
-  /** Between placement passes: events that come closer share one. */
+  /** Between placement passes over few machines: events that come closer share one. */
   passGapMs: number;
 }
 
@@ -54,7 +54,7 @@
       contactMs: leaseMs / 8,
       stateTimeoutMs: leaseMs / 9,
       workerTimeoutMs: reportMs * 0.8,
-      passGapMs: reportMs / 25,
+      passGapMs: reportMs / 125,
     },
   };
 }
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -1,4 +1,4 @@
-import type { JobKind, JobSpec, Urgency } from "../../src/ledger/records.js";
+import { keys, type JobKind, type JobSpec, type SliceRecord, type Urgency } from "../../src/ledger/records.js";
 import { World, type Plan } from "./world.js";
 
 /**
@@ -276,6 +276,12 @@
     const phases = [...world.nodes.values()].flatMap((n) => [...(n.controller?.leader.parts.values() ?? [])].map((p) => p.phase));
     return check(phases.length === world.nodes.size && phases.every((p) => p === "serving"), phases.join());
   }
+  if (what === "sliced") {
+    // SUBJECT sliced: some of its tasks belong to another part by a record of their own.
+    const [node] = [...world.nodes.values()].filter((n) => n.controller !== null);
+    const slices = [...node!.controller!.mirror.rows<SliceRecord>(keys.slices).values()].filter((e) => e.v.ref === subject);
+    return check(slices.length > 0, slices.length);
+  }
   if (what === "runs") {
     const n = [...world.workers.values()]
       .flatMap((w) => [...w.tasks.values()])
