--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,14 +1,13 @@
 // Builds target/main.js (one bundle, since loading modules one by one costs
 // processor time at every start) and turns the operators' HCL into JSON: no HCL
 // parser on npm fits the memory and processor quota at run time.
-import { readFile, writeFile, mkdir, rm } from "node:fs/promises";
+import { readFile, writeFile, mkdir, readdir, rm, stat } from "node:fs/promises";
 import { build } from "esbuild";
 import { parse } from "@cdktf/hcl2json";
 
-await rm("target/chunks", { recursive: true, force: true });
-await mkdir("target", { recursive: true });
+await mkdir("target/chunks", { recursive: true });
 const { version } = JSON.parse(await readFile("package.json", "utf8"));
-await build({
+const { metafile } = await build({
   entryPoints: ["src/main.ts"],
   outdir: "target",
   bundle: true,
@@ -23,8 +22,16 @@
   banner: {
     js: "import{createRequire as __cr}from'node:module';const require=__cr(import.meta.url);",
   },
+  metafile: true,
   logLevel: "warning",
 });
+// A controller that is just starting may still load the chunks of the build before:
+// taking them away under it made it end. What is a day old is nobody's.
+const DAY_MS = 24 * 3600 * 1000;
+for (const name of await readdir("target/chunks")) {
+  const file = `target/chunks/${name}`;
+  if (!(file in metafile.outputs) && Date.now() - (await stat(file)).mtimeMs > DAY_MS) await rm(file);
+}
 const file = "deploy/operators.hcl";
 const tree = await parse(file, await readFile(file, "utf8"));
 await writeFile("target/operators.json", JSON.stringify(tree));
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -22,7 +22,7 @@
 }
 
 /** Copies of a task that one empty machine of the type holds. */
-export function perMachine(type: MachineType, unit: Unit): number {
+function perMachine(type: MachineType, unit: Unit): number {
   const { spec } = unit;
   const by = (all: number, one: number): number => (one > 0 ? Math.floor((all + 1e-6) / one) : Infinity);
   return Math.min(by(type.cpus, spec.cpus), by(type.gpus, spec.gpus), by(type.ram, spec.ram), unit.waiting.length);
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -60,7 +60,7 @@
 }
 
 /** Of strictly lower priority, and no gang's, since all of that would go. */
-export function stoppable(placement: Placement, unit: Unit): boolean {
+function stoppable(placement: Placement, unit: Unit): boolean {
   return placement.unit.spec.kind !== "gang" && rank(placement.unit.spec.urgency) > rank(unit.spec.urgency);
 }
 
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -2,32 +2,11 @@
 import { test } from "node:test";
 import type { JobSpec } from "../src/ledger/records.js";
 import { brokenRules, type Happening, type Limits } from "./world/checker.js";
+import { specOf } from "./world/parts.js";
 
 // The checker must be able to fail: each rule has a history that breaks it and nothing else.
 const limits: Limits = { cancelMs: 43_000, teams: new Map([["ops", { cpus: 10, gpus: 0 }]]) };
-const spec = (over: Partial<JobSpec> = {}): JobSpec => ({
-  ref: "run-000001",
-  klass: "c",
-  team: "ops",
-  kind: "array",
-  urgency: "normal",
-  tasks: 2,
-  cpus: 4,
-  gpus: 0,
-  ram: 1,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: false,
-  image: "i",
-  imageGb: 1,
-  guessS: 1,
-  checkpointS: 0,
-  flushS: 0,
-  deadlineS: null,
-  ...over,
-});
+const spec = (over: Partial<JobSpec> = {}): JobSpec => specOf({ tasks: 2, cpus: 4, ...over });
 const submitted = (over: Partial<JobSpec> = {}): Happening => ({ at: 0, kind: "submitted", spec: spec(over) });
 const on = (at: number, task: number, host: string, over: object = {}): Happening => ({
   at,
