Ask every other part when no volunteer beats home

With hundreds of machines some part is nearly always below delta in a resource the job does not need and volunteers; when it does not beat home, nobody else was asked, the job stayed and more was rented. Change: volunteers are asked first; if none beats home it is as if none had announced.

--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -24,6 +24,7 @@
   home: Bid;
   open: Set<number>;
   bids: Bid[];
+  rest: number[];
   decide?: () => void;
 }
 
@@ -160,12 +161,18 @@
 
   private ask(part: Part, unit: Unit, waitMs: number): boolean {
     const now = this.scope.clock.now();
-    const { sigma, mode, answer_limit } = this.tuning;
+    const { sigma, mode } = this.tuning;
     this.asked.set(unit.key, now + sigma * 1000);
     const others = this.settings.nodes.map((_, id) => id).filter((id) => id !== part.id && this.ownerOf(id) !== null);
     const volunteers = mode === "ask" ? [] : others.filter((id) => now - (this.volunteers.get(id)?.at ?? -Infinity) < sigma * 1500);
-    const targets = volunteers.length > 0 ? volunteers : mode === "volunteers" ? [] : others;
-    if (targets.length === 0) return false;
+    if (volunteers.length === 0) return mode !== "volunteers" && this.query(part, unit, waitMs, others, []);
+    // Volunteers first; if none of them beats home, it is as if none had announced.
+    const rest = mode === "volunteers" ? [] : others.filter((id) => !volunteers.includes(id));
+    return this.query(part, unit, waitMs, volunteers, rest);
+  }
+
+  /** Asks the parts given; `rest`: whom to ask next if none of them beats home. */
+  private query(part: Part, unit: Unit, waitMs: number, targets: number[], rest: number[]): boolean {
     const id = ++this.queries;
     const runMs = this.leader.history.expectS(unit.spec) * 1000;
     this.asking = {
@@ -175,6 +182,7 @@
       home: { part: part.id, waitMs, runMs, utilization: utilization(part), atOnce: 0 },
       open: new Set(),
       bids: [],
+      rest,
     };
     this.stats.queries++;
     for (const target of targets) {
@@ -185,9 +193,8 @@
       this.asking = null;
       return false;
     }
-    const viaVolunteer = volunteers.length > 0;
-    this.asking.decide = () => this.decide(id, viaVolunteer);
-    this.scope.clock.after(answer_limit * 1000, () => this.decide(id, viaVolunteer));
+    this.asking.decide = () => this.decide(id);
+    this.scope.clock.after(this.tuning.answer_limit * 1000, () => this.decide(id));
     return true;
   }
 
@@ -230,7 +237,7 @@
     if (asking.open.size === 0) asking.decide?.();
   }
 
-  private decide(id: number, viaVolunteer: boolean): void {
+  private decide(id: number): void {
     const asking = this.asking;
     if (asking === null || asking.id !== id) return;
     this.asking = null;
@@ -244,12 +251,13 @@
       this.moveSlice(part, unit, most.part, most.atOnce);
       return;
     }
-    if (!this.movable(unit)) return;
-    if (choice.part === part.id) {
+    if (!this.movable(unit) || choice.part === part.id) {
+      if (asking.rest.length > 0 && this.query(part, unit, asking.home.waitMs, asking.rest, [])) return;
       this.stats.home++;
       return;
     }
-    this.stats[viaVolunteer ? "volunteer" : "asked"]++;
+    const { at } = this.volunteers.get(choice.part) ?? { at: -Infinity };
+    this.stats[this.scope.clock.now() - at < this.tuning.sigma * 1500 ? "volunteer" : "asked"]++;
     this.move(part, unit, choice.part);
   }
 
