Hold jobs that fail everywhere at fault, not the machines they fail on

Cause: jobs submitted with a mistake fail on every machine.

Now a job that failed on several machines and never got a task done is suspect: its machines are acquitted, it tries again with one task, ever less often, and nothing is rented, reserved, stopped, asked or estimated on its account. A done task clears it. Asking whether a result is recorded no longer takes a whole array's map apart.

Ruled out: counting failures only (a sick machine fails many tasks of few jobs at once); setting aside after three jobs (a sick machine is then found late).

Test: test/faults.test.ts.

--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -13,7 +13,7 @@
 import { PREEMPT_AFTER_PHI } from "../queue/preempt.js";
 import type { Shortage } from "../queue/pass.js";
 import { inOrder } from "../queue/order.js";
-import { newUnit, tailOf, type Unit } from "../queue/unit.js";
+import { newUnit, suspect, tailOf, type Unit } from "../queue/unit.js";
 import { aimS, type Settings } from "../settings/derived.js";
 import { best, roomiest, type Bid } from "./choice.js";
 
@@ -79,7 +79,7 @@
   estimateContext(): EstimateContext {
     return {
       now: this.scope.clock.now(),
-      silentMs: this.settings.timing.reportMs * 2,
+      silentMs: this.settings.timing.silentMs,
       order: this.leader.order(),
       history: this.leader.history,
       guaranteed: (unit) => this.leader.guarantees.within(unit.spec.ref),
@@ -122,16 +122,19 @@
       unit.hi === unit.spec.tasks &&
       unit.done.count === 0 &&
       unit.placed.size === 0 &&
-      unit.waiting.length > 0
+      unit.waiting.length > 0 &&
+      !suspect(unit)
     );
   }
 
   /** Waiting tasks at the end of an array may go elsewhere though the rest has started here. */
   private sliceable(unit: Unit): boolean {
     const { kind, oneZone, spread, klass } = unit.spec;
+    // Other parts would have to find out anew that it fails everywhere.
+    if (suspect(unit)) return false;
     // What is late already would take room from what can still start in time.
     if (this.scope.clock.wall() - unit.submittedWall > aimS(this.settings.platform, "wait", klass) * 1000) return false;
-    return kind === "array" && !oneZone && !spread && !unit.moved && !unit.ended && !unit.leaving && unit.lo === 0 && tailOf(unit) > 0;
+    return kind === "array" && !oneZone && !spread && !unit.moved && !unit.ended && !unit.leaving && unit.lo === 0 && tailOf(unit, 1) > 0;
   }
 
   private consider(): void {
@@ -289,7 +292,7 @@
    */
   private moveSlice(part: Part, unit: Unit, to: number, room: number): void {
     const whole = unit.hi;
-    const count = Math.min(room, tailOf(unit), whole - 1);
+    const count = Math.min(tailOf(unit, room), whole - 1);
     if (count <= 0) return;
     const lo = whole - count;
     const gone = unit.waiting.filter((task) => task >= lo);
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -3,7 +3,7 @@
 import { ready, usableSlots, zonesInUse } from "../queue/pass.js";
 import { inOrder, type LocalOrder } from "../queue/order.js";
 import { allowed, copies, placeTasks, type Slot } from "../queue/placement.js";
-import type { Unit } from "../queue/unit.js";
+import { suspect, type Unit } from "../queue/unit.js";
 import { freeRoom, newMachine } from "../workers/machine.js";
 import type { MachineType, Offer } from "./cloud-client.js";
 
@@ -63,7 +63,7 @@
     const isGang = spec.kind === "gang";
     if (left === 0 || (isGang && left < unit.waiting.length)) continue;
     // A job that fails wherever it runs is not worth more machines.
-    if (unit.failedOn.size > 1) continue;
+    if (suspect(unit)) continue;
     usage.set(spec.team, { cpus: used.cpus + spec.cpus * left, gpus: used.gpus + spec.gpus * left });
     const layOut = (task: JobSpec, count: number): number => {
       const chosen = placeTasks(task, count, slots, zonesInUse(part, unit), NOBODY, false);
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -13,7 +13,7 @@
 import { newUnit, shorten, type Unit } from "../queue/unit.js";
 import type { Settings } from "../settings/derived.js";
 import { newMachine, type Machine, type Report } from "../workers/machine.js";
-import { dropAll, newFindings } from "../workers/reports.js";
+import { acquit, dropAll, newFindings } from "../workers/reports.js";
 import type { Allotments } from "./allotments.js";
 import { CameUp } from "./came-up.js";
 import { Consequences } from "./consequences.js";
@@ -251,6 +251,7 @@
 
   private endUnit(part: Part, unit: Unit): void {
     unit.ended = true;
+    acquit(part, unit);
     for (const placement of unit.placed.values()) {
       if (!unit.done.has(placement.task)) placement.stop = { graceS: 0 };
       const machine = part.machines.get(placement.host);
--- a/src/parts/progress.ts
+++ b/src/parts/progress.ts
@@ -86,7 +86,7 @@
     if (job === undefined) return false;
     if (job.v.end !== undefined) return true;
     const found = this.recordOf(ref, task);
-    return found !== null && Bits.decode(found.hi - found.lo, found.done).has(task - found.lo);
+    return found !== null && Bits.stored(found.done, task - found.lo);
   }
 
   private recordOf(ref: string, task: number): { lo: number; hi: number; done: string } | null {
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -5,7 +5,7 @@
 import { allowed, copies, type Slot } from "./placement.js";
 import { beyond } from "./preempt.js";
 import { ready } from "./pass.js";
-import type { Unit } from "./unit.js";
+import { suspect, type Unit } from "./unit.js";
 
 /** Owners' guesses are often wrong by half: what a class counts as before it has shown anything. */
 const USUAL_SPREAD = Math.log(1.5);
@@ -191,7 +191,7 @@
   events.sort((a, b) => a.at - b.at);
   const all = [...extra];
   for (const u of part.units.values()) {
-    if (!u.ended && !u.leaving && u.waiting.length > 0 && (ready(u, now) || u.notBefore > now)) all.push(u);
+    if (!u.ended && !u.leaving && u.waiting.length > 0 && !suspect(u) && (ready(u, now) || u.notBefore > now)) all.push(u);
   }
   const queue = inOrder(all, context.order);
   let length = Math.min(queue.length, MAX_QUEUE);
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -3,7 +3,7 @@
 import { inOrder, type LocalOrder } from "./order.js";
 import { placeTasks, type Slot } from "./placement.js";
 import { beside, reserve, type Reservation, type ReserveContext } from "./reserve.js";
-import { pieceName, place, type Placement, type Unit } from "./unit.js";
+import { mayStart, pieceName, place, suspect, type Placement, type Unit } from "./unit.js";
 
 export interface PassContext extends ReserveContext {
   order: LocalOrder;
@@ -48,7 +48,7 @@
 }
 
 export function ready(unit: Unit, now: number): boolean {
-  if (unit.ended || unit.leaving || unit.waiting.length === 0 || unit.notBefore > now) return false;
+  if (unit.ended || unit.leaving || unit.waiting.length === 0 || unit.notBefore > now || mayStart(unit) === 0) return false;
   // A gang starts anew only when all of its former attempt is gone.
   return unit.spec.kind !== "gang" || unit.placed.size === 0;
 }
@@ -71,7 +71,7 @@
     const used = usage.get(spec.team) ?? { cpus: 0, gpus: 0 };
     const allotment = context.allotment(spec.team);
     const room = tasksWithin(spec, { cpus: allotment.cpus - used.cpus, gpus: allotment.gpus - used.gpus });
-    const wanted = unit.waiting.length;
+    const wanted = mayStart(unit);
     const within = Math.min(wanted, room);
     if (within < wanted) {
       const entry = result.short.get(spec.team) ?? { cpus: 0, gpus: 0, now: { cpus: 0, gpus: 0 } };
@@ -90,7 +90,7 @@
     if (chosen.length < within) {
       // Others of its shape may end in time to use what is kept.
       if (open.length === slots.length) hopeless.add(shape);
-      const room = isGang && !keptFor.has(spec.klass) ? reserve(part, unit, open, context) : null;
+      const room = isGang && !keptFor.has(spec.klass) && !suspect(unit) ? reserve(part, unit, open, context) : null;
       if (room !== null) {
         keptFor.add(spec.klass);
         kept.push(room);
@@ -111,6 +111,7 @@
         orderedAt: context.now,
         state: null,
         runningAt: null,
+        timed: true,
         direct: "none",
         stop: null,
         offeredSeq: -1,
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -3,7 +3,7 @@
 import { inOrder, rank } from "./order.js";
 import { ready, usableSlots, zonesInUse, type PassContext } from "./pass.js";
 import { allowed, fits, occupy, placeTasks, type Slot } from "./placement.js";
-import type { Placement, Unit } from "./unit.js";
+import { suspect, type Placement, type Unit } from "./unit.js";
 
 export interface PreemptContext extends PassContext {
   guaranteed: (unit: Unit) => boolean;
@@ -103,7 +103,9 @@
 export function choosePreemptions(part: Part, context: PreemptContext): Placement[] {
   if (part.phase !== "serving") return [];
   const { now } = context;
-  const waiting = [...part.units.values()].filter((unit) => ready(unit, now) && now - unit.arrivedAt >= context.patienceMs);
+  const waiting = [...part.units.values()].filter(
+    (unit) => ready(unit, now) && !suspect(unit) && now - unit.arrivedAt >= context.patienceMs,
+  );
   if (waiting.length === 0) return [];
   const chosen: Placement[] = [];
   const taken = new Set<Placement>();
--- a/src/queue/unit.ts
+++ b/src/queue/unit.ts
@@ -12,6 +12,8 @@
   /** As last reported; null until a report has shown it. */
   state: TaskState | null;
   runningAt: number | null;
+  /** Its times can be trusted: this process did not stand still meanwhile. */
+  timed: boolean;
   /**
    * `unresolved`: a direct start got no answer, so it may still arrive as long
    * as the session lasts. Such an attempt is never cleared, or it would start anew.
@@ -102,23 +104,42 @@
 
 function markDone(unit: Unit, task: number): void {
   unit.done.set(task);
+  // What is on a machine does not wait: no need to look for it among tens of thousands.
+  if (unit.placed.has(task)) return;
   const at = unit.waiting.indexOf(task);
   if (at >= 0) unit.waiting.splice(at, 1);
 }
 
 /** A task completed; a gang completes together: when one of its tasks is done, all are. */
 export function markFinished(unit: Unit, task: number): void {
+  // A job with a mistake never gets this far: what failed was the machines' doing.
+  unit.failedOn.clear();
+  unit.notBefore = -Infinity;
   if (unit.spec.kind === "gang") for (let i = 0; i < unit.hi - unit.lo; i++) markDone(unit, i);
   else markDone(unit, task);
 }
 
-/** How many of the last tasks wait, none of them placed or done. */
-export function tailOf(unit: Unit): number {
+/** How many of the last tasks wait, none of them placed or done; counts no further than `most`. */
+export function tailOf(unit: Unit, most: number): number {
   let n = 0;
-  for (let task = unit.hi - unit.lo - 1; task >= 0 && !unit.placed.has(task) && !unit.done.has(task); task--) n++;
+  for (let task = unit.hi - unit.lo - 1; task >= 0 && n < most && !unit.placed.has(task) && !unit.done.has(task); task--) n++;
   return Math.min(n, unit.waiting.length);
 }
 
+/**
+ * Failed on several machines and never done on any: the job is likely to have been
+ * submitted with a mistake, and then fails wherever it goes until its user cancels it.
+ */
+export function suspect(unit: Unit): boolean {
+  return unit.failedOn.size > 1 && unit.done.count === 0;
+}
+
+/** How many of its waiting tasks may start together: one that is suspect tries with a single task. */
+export function mayStart(unit: Unit): number {
+  if (unit.spec.kind === "gang" || !suspect(unit)) return unit.waiting.length;
+  return unit.placed.size > 0 ? 0 : 1;
+}
+
 /** The tasks from `hi` on have become a slice of their own. */
 export function shorten(unit: Unit, hi: number): void {
   unit.hi = hi;
--- a/src/settings/derived.ts
+++ b/src/settings/derived.ts
@@ -18,6 +18,10 @@
   contactMs: number;
   stateTimeoutMs: number;
   workerTimeoutMs: number;
+  /** A machine unheard of for this long gets no new work. */
+  silentMs: number;
+  /** A process that does nothing for this long stood still. */
+  stallMs: number;
   /** Between placement passes over few machines: events that come closer share one. */
   passGapMs: number;
 }
@@ -54,6 +58,8 @@
       contactMs: leaseMs / 8,
       stateTimeoutMs: leaseMs / 9,
       workerTimeoutMs: reportMs * 0.8,
+      silentMs: reportMs * 2,
+      stallMs: reportMs / 2,
       passGapMs: reportMs / 125,
     },
   };
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -1,5 +1,5 @@
 import type { Part } from "../parts/part.js";
-import { markFinished, pieceName, place, release, type Placement, type Unit } from "../queue/unit.js";
+import { markFinished, pieceName, place, release, suspect, type Placement, type Unit } from "../queue/unit.js";
 import { attemptKey, hold, letGo, type Machine, type Order, type Report, type ReportedTask } from "./machine.js";
 
 /** What a report brought about, for the shell to act on. */
@@ -54,31 +54,53 @@
   machine.exited.clear();
 }
 
-function blame(machine: Machine, unit: Unit, context: ReportContext): void {
-  unit.failures++;
+/** The job was at fault, not the machines that it failed on. */
+export function acquit(part: Part, unit: Unit): void {
+  for (const host of unit.failedOn.keys()) {
+    const machine = part.machines.get(host);
+    if (machine?.errors.delete(unit.spec.ref) === true) machine.avoidUntil = -Infinity;
+  }
+}
+
+/**
+ * A failure is either the machine's or the job's. A job that fails on several
+ * machines and never gets a task done is held to be at fault: its machines are
+ * acquitted, and it tries again ever less often. Otherwise jobs with a mistake would
+ * have good machines set aside one after the other. A machine that fails several
+ * jobs which are not at fault, with none done in between, is sick.
+ */
+function blame(part: Part, machine: Machine, unit: Unit, context: ReportContext): void {
   unit.failedOn.set(machine.host, (unit.failedOn.get(machine.host) ?? 0) + 1);
-  const elsewhere = unit.failedOn.size > 1;
-  if (elsewhere) {
-    // It fails wherever it goes: the job is at fault, so it must not hog machines.
-    unit.notBefore = context.now + Math.min(context.leaseMs * 3, context.coolMs * 2 ** Math.min(unit.failures, 8));
+  if (suspect(unit)) {
+    unit.notBefore = context.now + Math.min(context.leaseMs * 3, context.coolMs * 2 ** Math.min(unit.failedOn.size, 8));
+    acquit(part, unit);
+    return;
   }
   machine.errors.set(unit.spec.ref, (machine.errors.get(unit.spec.ref) ?? 0) + 1);
   if (machine.errors.size > 1) machine.draining = true;
   else machine.avoidUntil = context.now + context.coolMs * 2;
 }
 
-function exits(machine: Machine, key: string, placement: Placement, task: ReportedTask, context: ReportContext, findings: Findings): void {
+function exits(
+  part: Part,
+  machine: Machine,
+  key: string,
+  placement: Placement,
+  task: ReportedTask,
+  context: ReportContext,
+  findings: Findings,
+): void {
   const { unit } = placement;
   switch (task.cause) {
     case "done":
-      if (placement.runningAt !== null)
+      if (placement.runningAt !== null && placement.timed)
         findings.runs.push({ unit, seconds: (context.now - placement.runningAt) / 1000, host: machine.host });
       markFinished(unit, placement.task);
       machine.errors.clear();
       findings.finished.add(unit);
       break;
     case "error":
-      blame(machine, unit, context);
+      blame(part, machine, unit, context);
       break;
     case "no_room":
       machine.avoidUntil = Math.max(machine.avoidUntil, context.now + context.coolMs);
@@ -105,6 +127,7 @@
     orderedAt: context.now,
     state: task.state,
     runningAt: null,
+    timed: true,
     direct: "answered",
     stop: null,
     offeredSeq: -1,
@@ -173,7 +196,7 @@
         }
         continue;
       }
-      exits(machine, key, placement, task, context, findings);
+      exits(part, machine, key, placement, task, context, findings);
       continue;
     }
     if (placement === undefined) {
--- /dev/null
+++ b/test/faults.test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Bits } from "../src/platform/bits.js";
+import { ready, runPass } from "../src/queue/pass.js";
+import { suspect, type Unit } from "../src/queue/unit.js";
+import type { ReportedTask } from "../src/workers/machine.js";
+import { newFindings, takeReport, type ReportContext } from "../src/workers/reports.js";
+import type { Part } from "../src/parts/part.js";
+import { NOW, partOf, pass, queueUp, specOf } from "./world/parts.js";
+
+const room = { cpus: 4, gpus: 0, ram: 64 };
+
+/** Every task placed on the machine comes to this end. */
+function end(part: Part, host: string, cause: ReportedTask["cause"], only?: Unit): void {
+  const machine = part.machines.get(host)!;
+  const tasks = [...machine.placements.values()]
+    .filter((p) => only === undefined || p.unit === only)
+    .map((p): ReportedTask => ({
+      piece: `${p.unit.spec.ref}/${p.task}`,
+      attempt: p.attempt,
+      state: "exited",
+      cause,
+      saved: false,
+    }));
+  const context: ReportContext = {
+    now: NOW,
+    viaReport: true,
+    leaseMs: 18_000,
+    coolMs: 2500,
+    unitOf: () => null,
+    strangerOf: () => {
+      throw new Error("no stranger here");
+    },
+  };
+  const seen = { host, addr: host, type: "m", zone: "a", spot: false, session: 1, seq: machine.seq + 1, token: 5, noticeS: null };
+  const others = [...machine.placements.values()].filter((p) => only !== undefined && p.unit !== only);
+  const running = others.map((p): ReportedTask => ({
+    piece: `${p.unit.spec.ref}/${p.task}`,
+    attempt: p.attempt,
+    state: "running",
+    cause: null,
+    saved: false,
+  }));
+  takeReport(part, machine, { ...seen, tasks: [...tasks, ...running] }, context, newFindings());
+}
+
+test("jobs that fail wherever they go are at fault, not the machines, and try again with one task", () => {
+  const { part } = partOf(4, room);
+  const units = ["run-000001", "run-000002"].map((ref) => queueUp(part, specOf({ ref, tasks: 8, cpus: 1 })));
+  runPass(part, pass);
+  for (const host of part.machines.keys()) end(part, host, "error");
+  for (const unit of units) assert.ok(suspect(unit), `${unit.spec.ref} failed on ${unit.failedOn.size} machines`);
+  for (const machine of part.machines.values()) assert.deepEqual([machine.draining, machine.errors.size], [false, 0]);
+  assert.equal(ready(units[0]!, NOW), false, "it waits before it tries again");
+  const later = NOW + 60_000;
+  for (const machine of part.machines.values()) machine.heardAt = later;
+  runPass(part, { ...pass, now: later });
+  assert.deepEqual(
+    units.map((unit) => unit.placed.size),
+    [1, 1],
+  );
+  // One of them gets done after all: the mistake was not the job's.
+  end(part, [...units[0]!.placed.values()][0]!.host, "done", units[0]);
+  assert.equal(suspect(units[0]!), false);
+});
+
+test("a machine that fails several jobs that run elsewhere is set aside", () => {
+  const { part } = partOf(3, room);
+  const a = queueUp(part, specOf({ ref: "run-000001", tasks: 6, cpus: 1 }));
+  const b = queueUp(part, specOf({ ref: "run-000002", tasks: 6, cpus: 1 }));
+  runPass(part, pass);
+  const sick = [...a.placed.values()].map((p) => p.host).find((host) => [...b.placed.values()].some((p) => p.host === host))!;
+  end(part, sick, "error");
+  assert.equal(part.machines.get(sick)!.draining, true);
+  assert.equal(suspect(a) || suspect(b), false);
+});
+
+test("a stored map is read number by number as it is read whole", () => {
+  const bits = new Bits(1003);
+  for (const i of [0, 7, 8, 23, 24, 500, 1002]) bits.set(i);
+  const text = bits.encode();
+  const whole = Bits.decode(1003, text);
+  assert.equal(whole.count, 7);
+  for (let i = 0; i < 1003; i++) assert.equal(Bits.stored(text, i), whole.has(i), String(i));
+  // What another map has beyond the last number does not count.
+  const short = Bits.decode(5, Buffer.from([0xff, 0xff]).toString("base64"));
+  assert.deepEqual([short.count, short.full], [5, true]);
+  assert.equal(Bits.stored("", 3), false);
+});
