Notice stalls of this process; give up parts whose workers cannot be reached

A controller that stood still judged on waking by times at which it could have heard nothing.

Now the clock that all slices share notices a stall when it is next asked, whoever asks, and machines, boots, idle times and missing peers are given that time again; run times across it teach nothing; leases are not, since workers' clocks ran on. A controller that hears next to none of its machines while a peer hears most of its own marks its presence unfit, others claim its parts, and it leads again once machines answer probes, after a pause that grows if that was too early. Who is silent, since when and who took over is logged and shown by status.

Ruled out: a longer presence, so that freezes of 9 s pass without a takeover: after the power of a controller is off, its workers' leases would run out before the takeover.

Tests: scenarios 32 to 38, with freezes, silences, storms and mistaken jobs in the world; 34 and 36 fail without the mends.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from "node:crypto";
 import { Allotments } from "./parts/allotments.js";
+import { Fitness } from "./parts/fitness.js";
 import { Guarantees } from "./parts/guarantees.js";
 import { Leader } from "./parts/leader.js";
 import { Ownership } from "./parts/ownership.js";
@@ -32,6 +33,7 @@
   readonly rentals: Rentals;
   readonly committer: Committer;
   readonly ownership: Ownership;
+  readonly fitness: Fitness;
   readonly allotments: Allotments;
   readonly guarantees: Guarantees;
   readonly leader: Leader;
@@ -67,10 +69,11 @@
       { txnOps: state.txn_ops, retryMs: 5000 / state.write_rps },
       log,
     );
-    this.ownership = new Ownership(settings, life, around.state, this.mirror, this.committer, requests, scope);
+    this.ownership = new Ownership(settings, life, around.state, this.mirror, this.committer, requests, scope, () => this.fitness.unfit);
     this.allotments = new Allotments(settings, this.mirror, this.committer, scope);
     this.guarantees = new Guarantees(settings, this.mirror, scope);
     this.leader = new Leader(settings, life, this.mirror, this.rentals, this.committer, this.allotments, this.guarantees, scope);
+    this.fitness = new Fitness(settings, this.leader.parts, this.rentals, around.workers, scope);
     this.dispatch = new Dispatch(this.leader, around.workers, scope);
     this.fleet = new Fleet(
       settings,
@@ -90,7 +93,14 @@
   }
 
   start(): void {
+    this.scope.listen(this.scope.clock.stood$, (ms) => this.stoodStill(ms));
+    this.scope.routine(
+      "awake",
+      () => this.settings.timing.stallMs / 5,
+      () => void this.scope.clock.now(),
+    );
     this.leader.start();
+    this.fitness.start();
     this.dispatch.start();
     this.mirror.start(this.scope);
     this.ownership.start();
@@ -103,17 +113,25 @@
       if (!("Health" in message)) return;
       if (message.Health.stateOk) this.peersWithState.set(from, this.scope.clock.now());
       this.guarantees.hear(from, message.Health.use);
+      this.fitness.hear(from, message.Health.hears);
     });
     this.scope.routine(
       "health",
       () => this.settings.timing.reportMs / 4,
       () => {
-        const message = { Health: { stateOk: this.hasState(), use: this.leader.use() } };
+        const message = { Health: { stateOk: this.hasState(), hears: this.fitness.own(), use: this.leader.use() } };
         for (const node of this.settings.nodes) if (node !== this.settings.self) this.around.peers.send(node, message);
       },
     );
   }
 
+  private stoodStill(ms: number): void {
+    this.leader.stoodStill(ms);
+    this.ownership.stoodStill(ms);
+    this.fleet.stoodStill(ms);
+    this.scope.log.warn({ ms: Math.round(ms), parts: [...this.leader.parts.keys()] }, "this process stood still while its clocks ran on");
+  }
+
   private hasState(): boolean {
     return this.mirror.loaded && this.mirror.ageMs() < this.settings.timing.contactMs;
   }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -92,6 +92,11 @@
     );
   }
 
+  /** This process stood still: nobody could record meanwhile, for all it knows. */
+  stoodStill(ms: number): void {
+    for (const [host, since] of this.strangers) this.strangers.set(host, since + ms);
+  }
+
   private async paid(): Promise<void> {
     while (!this.rate.take()) await sleep(this.scope.clock, this.rate.waitMs());
   }
@@ -152,7 +157,7 @@
   private layOut(part: Part, now: number): HirePlan {
     return planHires(part, {
       now,
-      silentMs: this.settings.timing.reportMs * 2,
+      silentMs: this.settings.timing.silentMs,
       order: this.leader.order(),
       types: this.leader.types,
       open: (offer) => this.open(offer),
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -72,6 +72,8 @@
 
 export interface PresenceRecord {
   life: string;
+  /** It cannot reach its workers: others should lead its parts. */
+  unfit?: boolean;
 }
 
 /** A team's limit, split over the parts; null: no limit. */
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -96,6 +96,23 @@
     return this.mirror.ageMs() > this.settings.timing.silentAfterMs;
   }
 
+  /**
+   * This process stood still: machines, boots and idle times are given that time
+   * again, and run times that may have ended meanwhile teach nothing. Leases are not:
+   * workers' clocks ran on.
+   */
+  stoodStill(ms: number): void {
+    for (const part of this.parts.values()) {
+      part.since += ms;
+      for (const machine of part.machines.values()) {
+        machine.heardAt += ms;
+        machine.hiredAt += ms;
+        machine.idleSince += ms;
+        for (const placement of machine.placements.values()) placement.timed = false;
+      }
+    }
+  }
+
   // ---- records
 
   private onChange(key: string): void {
--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -15,8 +15,7 @@
   private readonly missingSince = new Map<string, number>();
   private claiming = new Set<number>();
   private readonly startedAt: number;
-  /** Set while this node cannot reach its workers: it should not lead then. */
-  unfit: () => boolean = () => false;
+  private renewing = false;
 
   constructor(
     private readonly settings: Settings,
@@ -26,6 +25,8 @@
     private readonly committer: Committer,
     private readonly rate: Rate,
     private readonly scope: Scope,
+    /** While this node cannot reach its workers, it should not lead. */
+    private readonly unfit: () => boolean,
   ) {
     this.startedAt = scope.clock.now();
   }
@@ -45,20 +46,44 @@
   }
 
   private async renew(): Promise<void> {
+    if (this.renewing) return;
+    this.renewing = true;
     const key = keys.alive(this.settings.self);
     try {
       while (!this.rate.take()) await new Promise<void>((r) => this.scope.clock.after(this.rate.waitMs(), r));
       if (this.permit !== null && (await this.state.renew(this.permit))) {
-        if (this.mirror.get(key) !== undefined) return;
+        if (this.saysUnfit(this.settings.self) === this.unfit() && this.alive(this.settings.self)) return;
       } else this.permit = await this.state.grant(this.settings.timing.presenceMs);
-      const value: PresenceRecord = { life: this.life };
+      const value: PresenceRecord = this.unfit() ? { life: this.life, unfit: true } : { life: this.life };
       const result = await this.state.txn([], [{ write: key, v: value, permit: this.permit }]);
       if (result.ok) this.mirror.put(key, value, result.ledger);
     } catch (error) {
       this.scope.log.debug({ err: (error as Error).message }, "presence not renewed");
+    } finally {
+      this.renewing = false;
     }
   }
 
+  /** This process stood still: what it did not see meanwhile says nothing of others. */
+  stoodStill(ms: number): void {
+    for (const [node, since] of this.missingSince) this.missingSince.set(node, since + ms);
+  }
+
+  /** Nodes whose presence ran out, and for how long they have been silent. */
+  silentNodes(): { node: string; ms: number }[] {
+    const now = this.scope.clock.now();
+    return [...this.missingSince].map(([node, since]) => ({ node, ms: Math.round(now - since) }));
+  }
+
+  private saysUnfit(node: string): boolean {
+    return this.mirror.get<PresenceRecord>(keys.alive(node))?.v.unfit === true;
+  }
+
+  /** There, and not cut off from its workers. */
+  private able(node: string): boolean {
+    return this.alive(node) && !this.saysUnfit(node);
+  }
+
   alive(node: string): boolean {
     return this.mirror.get(keys.alive(node)) !== undefined;
   }
@@ -80,10 +105,8 @@
     const { presenceMs } = settings.timing;
     const now = this.scope.clock.now();
     if (!mirror.loaded || mirror.ageMs() > presenceMs / 2 || !this.alive(settings.self)) return;
-    for (const node of settings.nodes) {
-      if (this.alive(node)) this.missingSince.delete(node);
-      else if (!this.missingSince.has(node)) this.missingSince.set(node, now);
-    }
+    if (this.unfit() !== this.saysUnfit(settings.self)) void this.renew();
+    for (const node of settings.nodes) this.noteSilence(node, now);
     const settled = now - this.startedAt > presenceMs;
     settings.nodes.forEach((home, part) => {
       const record = this.owner(part);
@@ -97,19 +120,35 @@
         if (record.life !== this.life) this.claim(part, "own former life");
         return;
       }
-      if (this.unfit()) return;
-      if (!this.alive(record.owner)) {
+      if (this.unfit() || this.saysUnfit(self)) return;
+      if (!this.able(record.owner)) {
         const missing = now - (this.missingSince.get(record.owner) ?? now);
-        if (this.heir(part) === self || missing > presenceMs) this.claim(part, "owner gone");
+        if (this.heir(part) === self || missing > presenceMs) this.claim(part, this.alive(record.owner) ? "owner cut off" : "owner gone");
         return;
       }
       if (home === self && settled) this.claim(part, "home again");
     });
   }
 
+  private noteSilence(node: string, now: number): void {
+    const since = this.missingSince.get(node);
+    if (this.alive(node)) {
+      if (since === undefined) return;
+      this.missingSince.delete(node);
+      this.scope.log.info({ peer: node, ms: Math.round(now - since) }, "controller is back");
+    } else if (since === undefined) {
+      this.missingSince.set(node, now);
+      if (now - this.startedAt > this.settings.timing.presenceMs)
+        this.scope.log.warn(
+          { peer: node, parts: this.settings.nodes.map((_, part) => part).filter((p) => this.owner(p)?.owner === node) },
+          "controller is silent",
+        );
+    }
+  }
+
   /** The live node that should take a part over: its home, else the one with the fewest. */
   private heir(part: number): string | undefined {
-    const live = this.settings.nodes.filter((node) => this.alive(node));
+    const live = this.settings.nodes.filter((node) => this.able(node));
     if (live.includes(this.home(part))) return this.home(part);
     return live.sort((a, b) => this.partsOf(a) - this.partsOf(b) || (a < b ? -1 : 1))[0];
   }
@@ -123,9 +162,9 @@
       const current = this.mirror.get<OwnerRecord>(key);
       if (current?.stamp !== before?.stamp) return null;
       const conditions = [{ k: key, stamp: before?.stamp ?? 0 }];
-      if (reason === "owner gone")
-        conditions.push({ k: keys.alive(before!.v.owner), stamp: this.mirror.stamp(keys.alive(before!.v.owner)) });
-      if (reason === "owner gone" && this.alive(before!.v.owner)) return null;
+      const gone = reason === "owner gone" || reason === "owner cut off";
+      if (gone) conditions.push({ k: keys.alive(before!.v.owner), stamp: this.mirror.stamp(keys.alive(before!.v.owner)) });
+      if (gone && this.able(before!.v.owner)) return null;
       return { conditions, apply: [{ write: key, v: { owner: this.settings.self, life: this.life } satisfies OwnerRecord }] };
     };
     // Alone: the stamp is the term, and two parts taken in one transaction would
--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -89,7 +89,7 @@
     for (const part of this.led.parts.values()) {
       const context = {
         now: this.led.now,
-        silentMs: this.led.settings.timing.reportMs * 2,
+        silentMs: this.led.settings.timing.silentMs,
         order,
         backfill,
         allotment: (team: string) => this.allotments.held(part.id, team),
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -1,7 +1,7 @@
 import avsc from "avsc";
 
 /** What controllers say to each other. The first frame each way is a hello. */
-export const PROTOCOL_VERSION = 2;
+export const PROTOCOL_VERSION = 3;
 
 export interface Hello {
   version: number;
@@ -40,9 +40,10 @@
   zone: string;
   spot: boolean;
 }
-/** Whether a node reaches the state service, and what teams use in its parts. */
+/** Whether a node reaches the state service, what it hears of its machines, and what teams use in its parts. */
 export interface Health {
   stateOk: boolean;
+  hears: string;
   use: { team: string; cpus: number; gpus: number }[];
 }
 /** A user's request passed on, its body as JSON text. */
@@ -114,6 +115,7 @@
           ]),
           record("Health", [
             ["stateOk", "boolean"],
+            ["hears", "string"],
             [
               "use",
               {
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -8,6 +8,7 @@
 import { systemClock } from "./platform/clock.js";
 import { openLog } from "./platform/log.js";
 import { Scope } from "./platform/scope.js";
+import { WatchfulClock } from "./platform/stall.js";
 import { Metrics } from "./status/metrics.js";
 import { clusterView } from "./status/view.js";
 import type { Settings } from "./settings/derived.js";
@@ -17,7 +18,7 @@
 /** Runs one controller until the process is ended. */
 export function serve(settings: Settings): void {
   const log = openLog(settings.self);
-  const scope = new Scope(systemClock, log);
+  const scope = new Scope(new WatchfulClock(systemClock, settings.timing.stallMs), log);
   const { endpoints, deployment, front } = settings.platform;
   const { timing } = settings;
   const peers = new PeerLinks(settings, scope, randomInt(2 ** 31));
--- a/src/status/view.ts
+++ b/src/status/view.ts
@@ -4,7 +4,7 @@
 
 /** The cluster as this node sees it, for the person on call. */
 export function clusterView(controller: Controller): Record<string, unknown> {
-  const { settings, mirror, rentals, ownership, leader, exchange } = controller;
+  const { settings, mirror, rentals, ownership, leader, exchange, fitness } = controller;
   const machines = [...rentals.all()];
   const parts = settings.nodes.map((_, id) => {
     const part = leader.parts.get(id);
@@ -37,6 +37,8 @@
     node: settings.self,
     ready: controller.unready() ?? "yes",
     stateAgeMs: Number.isFinite(mirror.ageMs()) ? Math.round(mirror.ageMs()) : null,
+    silent: ownership.silentNodes(),
+    cutOffFromWorkers: fitness.unfit,
     present: settings.nodes.filter((node) => ownership.alive(node)),
     parts,
     allotments,
--- a/test/committer.test.ts
+++ b/test/committer.test.ts
@@ -12,7 +12,7 @@
 test("users' writes do not wait behind what piled up in an outage", async () => {
   const clock = new VirtualClock();
   const service = new StateService(clock, () => 2, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
-  const client = service.client("n", () => true);
+  const client = service.client("n", (fn) => fn());
   const rate = new Rate(clock, 100);
   const mirror = new Mirror(client, clock, rate, { readGapMs: 10, blockMs: 500 });
   const scope = new Scope(clock, quiet);
--- a/test/mirror.test.ts
+++ b/test/mirror.test.ts
@@ -8,7 +8,7 @@
 test("a read asked for later is never answered with one that began earlier", async () => {
   const clock = new VirtualClock();
   const service = new StateService(clock, () => 5, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
-  const client = service.client("n", () => true);
+  const client = service.client("n", (fn) => fn());
   const mirror = new Mirror(client, clock, new Rate(clock, 1000), { readGapMs: 0, blockMs: 1000 });
   void mirror.fresh();
   await clock.run(100);
--- a/test/world/cloud-service.ts
+++ b/test/world/cloud-service.ts
@@ -1,4 +1,5 @@
 import type { CloudApi, ListedMachine, MachineType, Offer } from "../../src/fleet/cloud-client.js";
+import type { Via } from "./world.js";
 import { NoReply } from "../../src/platform/http.js";
 import type { VirtualClock } from "./virtual-clock.js";
 
@@ -57,15 +58,13 @@
     this.onGone(host);
   }
 
-  client(alive: () => boolean): CloudApi {
+  client(via: Via): CloudApi {
     const call = <T>(run: () => T): Promise<T> =>
       new Promise((resolve, reject) => {
         this.clock.after(50, () => {
-          if (this.outage) return this.clock.after(50, () => reject(new NoReply("refused", "trouble")));
+          if (this.outage) return this.clock.after(50, () => via(() => reject(new NoReply("refused", "trouble"))));
           const result = run();
-          this.clock.after(50, () => {
-            if (alive()) resolve(result);
-          });
+          this.clock.after(50, () => via(() => resolve(result)));
         });
       });
     return {
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -77,9 +77,10 @@
 function submission(words: string[], world: World): { wire: Record<string, unknown>; spec: JobSpec; node: string | undefined } {
   // submit REF SHAPE of N team T cpus C ... for SECONDS
   const [ref, shape] = words as [string, string];
-  const flags = new Set(["one-zone", "spread", "spot"].filter((f) => words.includes(f)));
+  const flags = new Set(["one-zone", "spread", "spot", "mistaken"].filter((f) => words.includes(f)));
   const o = options(words.slice(2).filter((w) => !flags.has(w)));
   const [wireShape, kind] = SHAPES[shape]!;
+  if (flags.has("mistaken")) world.mistaken.add(ref);
   const runS = Number(o.get("for") ?? 10);
   world.runs.set(ref, runS * 1000);
   const spec: JobSpec = {
@@ -144,6 +145,12 @@
   return { world, failures };
 }
 
+/** The job `i` after this one. */
+function numbered(ref: string, i: number): string {
+  const [name, digits] = ref.split("-") as [string, string];
+  return `${name}-${String(Number(digits) + i).padStart(digits.length, "0")}`;
+}
+
 /** Hosts running a task of the job, or all hosts. */
 function hostsOf(world: World, word: string): string[] {
   const all = [...world.workers.values()];
@@ -196,6 +203,11 @@
         world.clock.after(forMs, () => world.state.endCut(node));
         return;
       }
+      if (from === "workers") {
+        world.cut(node, "workers");
+        world.clock.after(forMs, () => world.mend(node, "workers"));
+        return;
+      }
       const sides = a.startsWith("hosts-of:") ? hostsOf(world, a.slice("hosts-of:".length)) : [node];
       for (const side of sides) {
         const other = from === "all" ? "*" : nodeNamed(from);
@@ -231,6 +243,37 @@
     case "take":
       for (const host of hostsOf(world, a).slice(0, Number(b ?? 1))) world.cloud.remove(host);
       return;
+    case "burst": {
+      // burst REF of N SHAPE ... with R a second: N jobs of one task each, numbered on from REF.
+      const count = Number(c);
+      const rest = step.words.slice(4, step.words.indexOf("with"));
+      const everyMs = 1000 / Number(step.words[step.words.indexOf("with") + 1]);
+      for (let i = 0; i < count; i++) {
+        const { wire, spec } = submission([numbered(a, i), ...rest], world);
+        world.clock.after(i * everyMs, () => void world.submit(wire, spec));
+      }
+      return;
+    }
+    case "freeze":
+      world.freeze(nodeNamed(a), Number(c) * 1000);
+      return;
+    case "silence": {
+      const node = nodeNamed(a);
+      world.killNode(node);
+      world.clock.after(Number(c) * 1000, () => world.startNode(node));
+      return;
+    }
+    case "storm": {
+      // storm X with N a second for S at NODE: polls for X and for a job nobody submitted.
+      const o = options(step.words.slice(2).filter((w) => w !== "a" && w !== "second"));
+      const everyMs = 1000 / Number(o.get("with"));
+      const node = o.has("at") ? nodeNamed(o.get("at")!) : undefined;
+      for (let t = 0; t < Number(o.get("for")) * 1000; t += everyMs) {
+        world.clock.after(t, () => void world.poll(a, node));
+        world.clock.after(t, () => void world.poll("run-999999", node));
+      }
+      return;
+    }
     case "hang":
       for (const host of hostsOf(world, a).slice(0, 1)) {
         const worker = world.workers.get(host)!;
@@ -290,7 +333,21 @@
   }
   if (what === "started") {
     const n = world.history.filter((h) => h.kind === "on" && h.piece.startsWith(`${subject}/`)).length;
-    return check(n === Number(c), n);
+    return check(c === "at-most" ? n <= Number(d) : n === Number(c), n);
+  }
+  if (subject === "set-aside") {
+    const n = world.lines.filter((line) => line.includes("set aside")).length;
+    return check(n <= Number(c), n);
+  }
+  if (subject === "burst") {
+    // burst REF of N done
+    const polls = Array.from({ length: Number(d) }, (_, i) => world.poll(numbered(what, i)));
+    let states: string[] = [];
+    await settle(
+      Promise.all(polls).then((all) => (states = all)),
+      5000,
+    );
+    return check(states.length > 0 && states.every((state) => state === "done"), states.filter((state) => state !== "done").length);
   }
   let saw = "nothing";
   const node = c === "at" ? nodeNamed(d) : undefined;
@@ -298,5 +355,5 @@
     world.poll(subject, node).then((s) => (saw = s)),
     5000,
   );
-  check(saw === what, saw);
+  check(what === "unfinished" ? saw === "queued" || saw === "running" : saw === what, saw);
 }
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -1,3 +1,4 @@
+import type { Via } from "./world.js";
 import { NoReply } from "../../src/platform/http.js";
 import {
   LostPermit,
@@ -150,24 +151,23 @@
   }
 
   /** The service as one node reaches it. */
-  client(node: string, alive: () => boolean): StateApi {
+  client(node: string, via: Via): StateApi {
     const { clock } = this;
     const call = <T>(run: () => T, writes = 0, timeoutMs = 2000): Promise<T> =>
       new Promise((resolve, reject) => {
         const weather = this.weatherOf(node);
         clock.after(this.latencyMs(), () => {
           if (!this.requests.take(clock.now(), 1) || !this.writes.take(clock.now(), writes))
-            return clock.after(this.latencyMs(), () => reject(new OverRate()));
-          if (this.outage || weather.refused) return clock.after(this.latencyMs(), () => reject(new NoReply("refused", "503")));
+            return clock.after(this.latencyMs(), () => via(() => reject(new OverRate())));
+          if (this.outage || weather.refused) return clock.after(this.latencyMs(), () => via(() => reject(new NoReply("refused", "503"))));
           if (weather.cut) {
             this.held.push({ node, run: () => void run() });
-            return clock.after(timeoutMs, () => reject(new NoReply("unanswered", "cut")));
+            return clock.after(timeoutMs, () => via(() => reject(new NoReply("unanswered", "cut"))));
           }
           const result = run();
           clock.after(this.latencyMs(), () => {
-            if (!alive()) return;
-            if (weather.cut) return void clock.after(timeoutMs, () => reject(new NoReply("unanswered", "cut")));
-            resolve(result);
+            if (weather.cut) return void clock.after(timeoutMs, () => via(() => reject(new NoReply("unanswered", "cut"))));
+            via(() => resolve(result));
           });
         });
       });
@@ -197,10 +197,7 @@
           const watch: Watch = {
             prefix,
             from,
-            answer: (result) =>
-              clock.after(this.latencyMs(), () => {
-                if (alive()) resolve(result);
-              }),
+            answer: (result) => clock.after(this.latencyMs(), () => via(() => resolve(result))),
           };
           const missed = this.since(prefix, from);
           if (missed.length > 0) return void watch.answer({ ledger: this.ledger, events: missed });
@@ -209,7 +206,7 @@
             const at = this.watches.indexOf(watch);
             if (at < 0) return;
             this.watches.splice(at, 1);
-            if (alive()) resolve({ ledger: this.ledger, events: [] });
+            via(() => resolve({ ledger: this.ledger, events: [] }));
           });
         });
       },
--- a/test/world/virtual-clock.ts
+++ b/test/world/virtual-clock.ts
@@ -1,3 +1,4 @@
+import { NEVER } from "rxjs";
 import type { Clock } from "../../src/platform/clock.js";
 
 interface Due {
@@ -9,6 +10,7 @@
 
 /** Time that passes only when told to; events at one instant keep their order. */
 export class VirtualClock implements Clock {
+  readonly stood$ = NEVER;
   private time = 0;
   private count = 0;
   private heap: Due[] = [];
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -18,7 +18,7 @@
   /** True run time of a job's tasks. */
   runMs: (ref: string) => number;
   fetchMs: (ref: string) => number;
-  sick: (host: string) => boolean;
+  sick: (host: string, ref: string) => boolean;
   on: (worker: Worker, piece: string) => void;
   off: (worker: Worker, piece: string, cause: string) => void;
   /** All present members of a gang's attempt, over all machines. */
@@ -216,7 +216,7 @@
     task.state = spec.kind === "gang" && spec.tasks > 1 ? "gathering" : "running";
     task.since = this.world.clock.now();
     this.changed = true;
-    if (this.world.sick(this.host)) this.exit(task, "error");
+    if (this.world.sick(this.host, task.ref)) this.exit(task, "error");
   }
 
   private gathered(task: WorkerTask): void {
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -9,6 +9,9 @@
 import { NoReply } from "../../src/platform/http.js";
 import type { Log } from "../../src/platform/log.js";
 import { Scope } from "../../src/platform/scope.js";
+import { WatchfulClock } from "../../src/platform/stall.js";
+import type { Response } from "../../src/intake/jobs.js";
+import type { RequestKind } from "../../src/intake/relay.js";
 import { derive } from "../../src/settings/derived.js";
 import { checkOperators } from "../../src/settings/operators.js";
 import type { PlatformSettings, TeamSettings } from "../../src/settings/platform-file.js";
@@ -16,6 +19,7 @@
 import type { CommandReply } from "../../src/workers/worker-client.js";
 import type { Happening, Limits } from "./checker.js";
 import { CloudService } from "./cloud-service.js";
+import { NodeClock } from "./node-clock.js";
 import { StateService, type StateLimits } from "./state-service.js";
 import { VirtualClock } from "./virtual-clock.js";
 import { Worker, type WorkerWorld } from "./worker.js";
@@ -33,9 +37,16 @@
   name: string;
   controller: Controller | null;
   scope: Scope | null;
+  clock: NodeClock | null;
   incoming$: Subject<{ from: string; message: Message }>;
 }
 
+/** Something that happens to a controller's process, unless it has ended. */
+export type Via = (fn: () => void) => void;
+
+/** How long users wait for an answer (PROTOCOL). */
+const PATIENCE_MS = { submit: 5000, poll: 2000, cancel: 5000 };
+
 const quiet: Log = {
   error: () => undefined,
   warn: () => undefined,
@@ -55,7 +66,11 @@
   readonly specs = new Map<string, JobSpec>();
   readonly runs = new Map<string, number>();
   readonly sickHosts = new Set<string>();
+  /** Jobs submitted with a mistake: they fail on every machine. */
+  readonly mistaken = new Set<string>();
   readonly errors: string[] = [];
+  /** What the controllers logged, without its figures. */
+  readonly lines: string[] = [];
   /** Pairs that cannot reach each other, as `a|b`; what is sent is held. */
   private readonly cuts = new Set<string>();
   private held: { cut: string; run: () => void }[] = [];
@@ -76,7 +91,7 @@
       this.workers.delete(host);
     };
     for (let i = 0, name = "nest-0"; i < plan.controllers; name = `nest-${++i}`)
-      this.nodes.set(name, { name, controller: null, scope: null, incoming$: new Subject() });
+      this.nodes.set(name, { name, controller: null, scope: null, clock: null, incoming$: new Subject() });
   }
 
   random(): number {
@@ -118,26 +133,39 @@
     const node = this.nodes.get(name)!;
     if (node.controller !== null) return;
     const print = (entry: unknown, text?: string): void => {
+      if (text !== undefined) this.lines.push(text);
       if (process.env["SCENARIO_LOG"] !== undefined) console.log((this.clock.now() / 1000).toFixed(2), name, text, JSON.stringify(entry));
     };
-    const log: Log = { ...quiet, info: print, debug: print, error: (entry: unknown) => this.errors.push(JSON.stringify(entry)) } as Log;
-    const scope = new Scope(this.clock, log);
-    const alive = (): boolean => !scope.closed;
+    const log: Log = {
+      ...quiet,
+      info: print,
+      warn: print,
+      debug: print,
+      error: (entry: unknown) => this.errors.push(JSON.stringify(entry)),
+    } as Log;
+    const clock = new NodeClock(this.clock);
+    const settings = derive(this.settingsOf(name), checkOperators("operators", {}));
+    const scope = new Scope(new WatchfulClock(clock, settings.timing.stallMs), log);
+    const via: Via = (fn) => {
+      if (!scope.closed) clock.deliver(() => (scope.closed ? undefined : fn()));
+    };
     const peers: PeerApi = {
       incoming$: node.incoming$,
       send: (to, message) => {
-        this.carry(name, to, () => this.nodes.get(to)?.incoming$.next({ from: name, message }), false);
+        const sent = (): void => this.via(to)(() => this.nodes.get(to)?.incoming$.next({ from: name, message }));
+        this.carry(name, to, sent, false);
         return true;
       },
     };
     node.scope = scope;
+    node.clock = clock;
     node.controller = new Controller(
-      derive(this.settingsOf(name), checkOperators("operators", {})),
+      settings,
       {
-        state: this.state.client(name, alive),
-        cloud: this.cloud.client(alive),
+        state: this.state.client(name, via),
+        cloud: this.cloud.client(via),
         workers: {
-          command: (addr, token, session, orders) => this.command(name, addr, (worker) => worker.command(token, session, orders), alive),
+          command: (addr, token, session, orders) => this.command(name, addr, (worker) => worker.command(token, session, orders), via),
         },
         peers,
       },
@@ -147,6 +175,20 @@
     node.controller.start();
   }
 
+  private via(name: string): Via {
+    const node = this.nodes.get(name);
+    return (fn) => {
+      if (node?.clock !== null && node?.clock !== undefined && node.scope?.closed === false) node.clock.deliver(fn);
+    };
+  }
+
+  /** The process stands still while its clocks run on. */
+  freeze(name: string, ms: number): void {
+    const clock = this.nodes.get(name)!.clock!;
+    clock.freeze();
+    this.clock.after(ms, () => clock.thaw());
+  }
+
   killNode(name: string): void {
     const node = this.nodes.get(name)!;
     node.scope?.close();
@@ -185,16 +227,14 @@
     });
   }
 
-  private command(node: string, host: string, act: (worker: Worker) => CommandReply, alive: () => boolean): Promise<CommandReply> {
+  private command(node: string, host: string, act: (worker: Worker) => CommandReply, via: Via): Promise<CommandReply> {
     return new Promise((resolve, reject) => {
-      this.clock.after(2000, () => reject(new NoReply("unanswered", "timeout")));
+      this.clock.after(2000, () => via(() => reject(new NoReply("unanswered", "timeout"))));
       this.carry(node, host, () => {
         const worker = this.workers.get(host);
         if (worker === undefined || worker.hanging) return;
         const reply = act(worker);
-        this.carry(host, node, () => {
-          if (alive()) resolve(reply);
-        });
+        this.carry(host, node, () => via(() => resolve(reply)));
       });
     });
   }
@@ -213,14 +253,16 @@
           this.carry(from, node, () => {
             const target = this.nodes.get(node)?.controller;
             if (target === null || target === undefined) return resolve(null);
-            const answer = target.leader.onReport(report);
-            this.carry(node, from, () => resolve(answer));
+            this.via(node)(() => {
+              const answer = target.leader.onReport(report);
+              this.carry(node, from, () => resolve(answer));
+            });
           });
         }),
       spec: (ref) => this.specs.get(ref),
       runMs: (ref) => this.runs.get(ref) ?? 10_000,
       fetchMs: () => this.fetchMs,
-      sick: (name) => this.sickHosts.has(name),
+      sick: (name, ref) => this.sickHosts.has(name) || this.mistaken.has(ref),
       on: (worker, piece) => this.history.push({ at: this.clock.now(), kind: "on", piece, host: worker.host, ...worker.offer }),
       off: (worker, piece, cause) => this.history.push({ at: this.clock.now(), kind: "off", piece, host: worker.host, cause }),
       mates: (ref, attempt) =>
@@ -233,10 +275,21 @@
 
   // ---- users
 
-  private target(name?: string): Controller | null {
+  private target(name?: string): Node | null {
     const up = [...this.nodes.values()].filter((n) => n.controller !== null);
-    if (name !== undefined) return this.nodes.get(name)?.controller ?? null;
-    return up.length === 0 ? null : up[Math.floor(this.random() * up.length)]!.controller;
+    if (name !== undefined) return this.nodes.get(name)!;
+    return up.length === 0 ? null : up[Math.floor(this.random() * up.length)]!;
+  }
+
+  /** A user's request; undefined: no answer came while the user waited. */
+  private ask(kind: RequestKind, body: unknown, name?: string): Promise<Response | undefined> {
+    const node = this.target(name);
+    const controller = node?.controller;
+    if (node === null || controller === null || controller === undefined) return Promise.resolve(undefined);
+    return new Promise((resolve) => {
+      this.clock.after(PATIENCE_MS[kind], () => resolve(undefined));
+      this.via(node.name)(() => void controller.relay.answer(kind, body).then(resolve));
+    });
   }
 
   private told(ref: string, status: number, body: Record<string, unknown>): void {
@@ -250,7 +303,7 @@
     this.specs.set(spec.ref, spec);
     this.history.push({ at: this.clock.now(), kind: "submitted", spec });
     for (let i = 0; i < 60; i++) {
-      const answer = await this.target(node)?.relay.answer("submit", wire);
+      const answer = await this.ask("submit", wire, node);
       if (answer !== undefined) this.told(spec.ref, answer.status, answer.body);
       if (answer !== undefined && answer.status < 500 && answer.status !== 429) return;
       await new Promise<void>((resolve) => this.clock.after(1000, resolve));
@@ -258,7 +311,7 @@
   }
 
   async poll(ref: string, node?: string): Promise<string> {
-    const answer = await this.target(node)?.relay.answer("poll", ref);
+    const answer = await this.ask("poll", ref, node);
     if (answer === undefined) return "down";
     this.told(ref, answer.status, answer.body);
     return answer.status === 200 ? String(answer.body["status"]) : String(answer.status);
@@ -267,7 +320,7 @@
   async cancel(ref: string, node?: string): Promise<void> {
     this.history.push({ at: this.clock.now(), kind: "asked-cancel", ref });
     for (let i = 0; i < 60; i++) {
-      const answer = await this.target(node)?.relay.answer("cancel", ref);
+      const answer = await this.ask("cancel", ref, node);
       if (answer !== undefined) this.told(ref, answer.status, answer.body);
       if (answer?.status === 200) return;
       await new Promise<void>((resolve) => this.clock.after(1000, resolve));
