Stop low work for urgent jobs that are bound to one zone

Cause: such jobs never had others stopped for them, since zones would have to be weighed.

Now each zone is tried and the one taken that holds the most and costs the least; the estimate counts such room zone by zone as well.

Ruled out: keeping guests off those machines (they are the cheapest for them when nothing urgent waits).

--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -310,11 +310,19 @@
     const { spec } = unit;
     const level = rank(spec.urgency);
     const claims = this.context.guaranteed(unit);
-    if (spec.oneZone || spec.spread || (!claims && level >= this.lowest)) return false;
+    if (spec.spread || (!claims && level >= this.lowest)) return false;
+    const list = this.for(unit, level, claims);
+    const zones = spec.oneZone ? new Set(list.map(({ room }) => room.machine.zone)) : [null];
+    for (const zone of zones) if (this.makeRoomIn(zone, spec, tasks, list)) return true;
+    return false;
+  }
+
+  private makeRoomIn(zone: string | null, spec: JobSpec, tasks: number, list: { room: Room; free: Capacity }[]): boolean {
     const chosen: { free: Capacity; n: number }[] = [];
     let missing = tasks;
-    for (const { room, free } of this.for(unit, level, claims)) {
+    for (const { room, free } of list) {
       if (missing === 0) break;
+      if (zone !== null && room.machine.zone !== zone) continue;
       const n = allowed(spec, room.machine) ? Math.min(missing, copies(spec, free)) : 0;
       if (n > 0) chosen.push({ free, n });
       missing -= n;
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -99,6 +99,35 @@
   return fits(unit.spec, soft.free) ? victims : null;
 }
 
+/** Where a job's tasks would go: room that is free, and room that stopping others makes. */
+interface Clearing {
+  placed: Slot[];
+  cleared: { slot: Slot; victims: Placement[]; cost: number }[];
+}
+
+/**
+ * A job that must stay in one zone: the zone in which the most of it finds room, and of
+ * those where stopping others costs the least. Were such jobs left to wait their turn,
+ * a guest's long low work would keep urgent ones from the only machines that hold them.
+ */
+function inBestZone(
+  bound: ReadonlyMap<string, number>,
+  slots: Slot[],
+  attempt: (zone: string) => Clearing,
+  undo: (clearing: Clearing) => void,
+): Clearing {
+  const zones = bound.size > 0 ? [...bound.keys()].slice(0, 1) : [...new Set(slots.map((slot) => slot.machine.zone))].sort();
+  let best: { zone: string; room: number; cost: number } | null = null;
+  for (const zone of bound.size > 1 ? [] : zones) {
+    const clearing = attempt(zone);
+    undo(clearing);
+    const room = clearing.placed.length + clearing.cleared.length;
+    const cost = clearing.cleared.reduce((sum, one) => sum + one.cost, 0);
+    if (best === null || room > best.room || (room === best.room && cost < best.cost)) best = { zone, room, cost };
+  }
+  return best === null ? { placed: [], cleared: [] } : attempt(best.zone);
+}
+
 /** Which tasks to stop so that waiting work of higher priority can start. */
 export function choosePreemptions(part: Part, context: PreemptContext): Placement[] {
   if (part.phase !== "serving") return [];
@@ -138,30 +167,34 @@
     const least = isGang ? wanted : 1;
     if (least >= (hopeless.get(shape) ?? Infinity)) continue;
     if (wanted === 0 || (isGang && wanted < unit.waiting.length)) continue;
-    const placed = placeTasks(spec, wanted, slots, zonesInUse(part, unit), unit.failedOn, false);
-    const missing = wanted - placed.length;
-    const cleared: { slot: Slot; victims: Placement[] }[] = [];
-    // Zones would have to be weighed as well; such jobs wait their turn.
-    for (let i = 0; i < missing && !spec.oneZone && !spec.spread; i++) {
-      let best: { slot: Slot; victims: Placement[]; cost: number } | null = null;
-      for (const slot of slots) {
-        if (!allowed(spec, slot.machine) || unit.failedOn.has(slot.machine.host)) continue;
-        const victims = victimsOn(slot, unit, taken, candidates, mayStop);
-        if (victims === null || victims.length === 0) continue;
-        const cost = victims.reduce((sum, p) => sum + 1 + lostS(p, now), 0) + (slot.machine.images.has(spec.image) ? 0 : spec.guessS);
-        if (best === null || cost < best.cost) best = { slot, victims, cost };
-      }
-      if (best === null) break;
-      for (const victim of best.victims) {
-        taken.add(victim);
-        spend(victim, 1);
-        occupy(best.slot, victim.unit.spec, -1);
+    const zones = zonesInUse(part, unit);
+    /** Room for the tasks, in one zone if it is given: free or cleared. */
+    const attempt = (zone: string | null): Clearing => {
+      const task = zone === null ? spec : { ...spec, zone, oneZone: false };
+      const placed = placeTasks(task, wanted, slots, zones, unit.failedOn, false);
+      const cleared: Clearing["cleared"] = [];
+      // Spreading over zones would have to be weighed as well; such jobs wait their turn.
+      for (let missing = wanted - placed.length; missing > 0 && !spec.spread; missing--) {
+        let best: { slot: Slot; victims: Placement[]; cost: number } | null = null;
+        for (const slot of slots) {
+          if (!allowed(task, slot.machine) || unit.failedOn.has(slot.machine.host)) continue;
+          const victims = victimsOn(slot, unit, taken, candidates, mayStop);
+          if (victims === null || victims.length === 0) continue;
+          const cost = victims.reduce((sum, p) => sum + 1 + lostS(p, now), 0) + (slot.machine.images.has(spec.image) ? 0 : spec.guessS);
+          if (best === null || cost < best.cost) best = { slot, victims, cost };
+        }
+        if (best === null) break;
+        for (const victim of best.victims) {
+          taken.add(victim);
+          spend(victim, 1);
+          occupy(best.slot, victim.unit.spec, -1);
+        }
+        occupy(best.slot, spec);
+        cleared.push(best);
       }
-      occupy(best.slot, spec);
-      cleared.push(best);
-    }
-    if (cleared.length < missing) hopeless.set(shape, Math.min(hopeless.get(shape) ?? Infinity, isGang ? wanted : 1));
-    if (isGang && cleared.length < missing) {
+      return { placed, cleared };
+    };
+    const undo = ({ placed, cleared }: Clearing): void => {
       for (const { slot, victims } of cleared) {
         occupy(slot, spec, -1);
         for (const victim of victims) {
@@ -171,8 +204,15 @@
         }
       }
       for (const slot of placed) occupy(slot, spec, -1);
+    };
+    const found = spec.oneZone ? inBestZone(zones, slots, attempt, undo) : attempt(null);
+    const missing = wanted - found.placed.length - found.cleared.length;
+    if (missing > 0) hopeless.set(shape, Math.min(hopeless.get(shape) ?? Infinity, isGang ? wanted : 1));
+    if (isGang && missing > 0) {
+      undo(found);
       continue;
     }
+    const { cleared } = found;
     for (const { victims } of cleared) chosen.push(...victims);
     usage.set(spec.team, { cpus: used.cpus + spec.cpus * wanted, gpus: used.gpus + spec.gpus * wanted });
   }
