Check authority again after each wait: rentals, returns, late connections, reads

A controller that stood still between waiting for its turn and acting could rent for, or return machines of, a part that another leads by then, send a command on a connection made long after it was asked for, or answer from a read of before the stall. Tests: test/stall.test.ts.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -97,6 +97,11 @@
     for (const [host, since] of this.strangers) this.strangers.set(host, since + ms);
   }
 
+  /** Checked at the moment of each act, not before a wait for it. */
+  private leads(part: Part): boolean {
+    return !this.leader.silent() && this.leader.parts.get(part.id) === part;
+  }
+
   private async paid(): Promise<void> {
     while (!this.rate.take()) await sleep(this.scope.clock, this.rate.waitMs());
   }
@@ -193,6 +198,8 @@
     this.hiring.add(name);
     try {
       await this.paid();
+      // Waiting for our turn may have taken longer than we may lead: whoever does now repeats the name.
+      if (!this.leads(part)) return;
       const hosts = await this.cloud.hire(name, hire, hire.count);
       const offer: Offer = { type: hire.type, zone: hire.zone, spot: hire.spot };
       if (hosts === null || hosts.length < hire.count) this.noteRefusal(offer);
@@ -298,8 +305,11 @@
       if (this.scope.closed || this.leader.parts.get(part.id) !== part) return;
       try {
         await this.paid();
-        await this.cloud.remove(machines.map((machine) => machine.host));
-        break;
+        if (this.leads(part)) {
+          await this.cloud.remove(machines.map((machine) => machine.host));
+          break;
+        }
+        await sleep(this.scope.clock, this.settings.timing.reportMs);
       } catch (error) {
         if (!(error instanceof NoReply)) throw error;
         await sleep(this.scope.clock, this.settings.timing.reportMs);
@@ -380,6 +390,7 @@
         await this.mirror.fresh();
         const nobodys = strays.filter((host) => this.rentals.get(host) === undefined).slice(0, MAX_DELETE);
         await this.paid();
+        if (this.leader.silent()) return;
         await this.cloud.remove(nobodys);
         this.stats.strays += nobodys.length;
         this.scope.log.info({ hosts: nobodys }, "unexpected machines returned");
--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -55,8 +55,11 @@
     });
   }
 
-  private fresh(): Promise<boolean> {
-    return this.within(this.mirror.fresh(), this.settings.timing.stateTimeoutMs * 0.75);
+  /** The time is looked at again afterwards: what was read before this process stood still is not fresh. */
+  private async fresh(): Promise<boolean> {
+    const limitMs = this.settings.timing.stateTimeoutMs * 0.75;
+    const began = this.scope.clock.now();
+    return (await this.within(this.mirror.fresh(), limitMs)) && this.scope.clock.now() - began <= limitMs + this.settings.timing.stallMs;
   }
 
   async submit(raw: unknown): Promise<Response> {
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from "node:http";
+import { performance } from "node:perf_hooks";
 
 export interface Reply {
   status: number;
@@ -31,6 +32,7 @@
     return new Promise((resolve, reject) => {
       const colon = addr.lastIndexOf(":");
       const payload = body === undefined ? undefined : JSON.stringify(body);
+      const deadline = performance.now() + timeoutMs;
       let settled = false;
       const fail = (kind: "refused" | "unanswered", message: string): void => {
         if (settled) return;
@@ -79,7 +81,19 @@
         req.destroy();
       }, timeoutMs);
       req.on("error", (error: NodeJS.ErrnoException) => fail(error.code === "ECONNREFUSED" ? "refused" : "unanswered", error.message));
-      req.end(payload);
+      // A process that stood still between asking and being connected must not send
+      // what it was entitled to say long ago, even if the connection is handled before the timer.
+      const send = (): void => {
+        if (performance.now() < deadline) req.end(payload);
+        else {
+          fail("refused", "connected too late");
+          req.destroy();
+        }
+      };
+      req.on("socket", (socket) => {
+        if (socket.connecting) socket.once("connect", send);
+        else send();
+      });
     });
   }
 }
--- /dev/null
+++ b/test/stall.test.ts
@@ -0,0 +1,71 @@
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { hearing } from "../src/parts/fitness.js";
+import { newPart } from "../src/parts/part.js";
+import { HttpClient, NoReply } from "../src/platform/http.js";
+import { WatchfulClock } from "../src/platform/stall.js";
+import { newMachine } from "../src/workers/machine.js";
+import { VirtualClock } from "./world/virtual-clock.js";
+
+test("whoever asks the time first after a stall makes it known before going on", async () => {
+  const world = new VirtualClock();
+  const clock = new WatchfulClock(world, 1000);
+  const stalls: number[] = [];
+  clock.stood$.subscribe((ms) => {
+    // A listener may ask the time itself.
+    clock.now();
+    stalls.push(ms);
+  });
+  await world.run(900);
+  clock.now();
+  await world.run(1800);
+  assert.equal(clock.now(), 1800);
+  assert.deepEqual(stalls, [], "asked often enough");
+  await world.run(9000);
+  clock.now();
+  clock.now();
+  assert.deepEqual(stalls, [7200]);
+});
+
+test("a node judges what it hears of its machines by those that should report", () => {
+  const part = newPart(0, 5, 0);
+  const now = 100_000;
+  const ages = [1000, 9000, 9000, 9000, 9000, 9000, 9000, 9000, 9000, 9000];
+  ages.forEach((age, i) => {
+    const machine = newMachine(`i-${i}`, "m", "a", false, { cpus: 1, gpus: 0, ram: 1 }, 0);
+    Object.assign(machine, { up: true, heardAt: now - age });
+    part.machines.set(machine.host, machine);
+  });
+  assert.equal(hearing([part], now, 5000), "few");
+  part.since = now - 1000;
+  assert.equal(hearing([part], now, 5000), "unsure", "a part just taken says nothing yet");
+  part.since = 0;
+  for (const machine of part.machines.values()) if (machine.host > "i-6") machine.heardAt = now;
+  assert.equal(hearing([part], now, 5000), "unsure");
+  for (const machine of part.machines.values()) machine.heardAt = now;
+  assert.equal(hearing([part], now, 5000), "most");
+  for (const machine of part.machines.values()) machine.deleting = true;
+  assert.equal(hearing([part], now, 5000), "unsure");
+});
+
+test("a request that is connected only after its time is over is not sent", async () => {
+  let served = 0;
+  const server = createServer((_req, res) => {
+    served++;
+    res.end("{}");
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const addr = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const client = new HttpClient(1);
+  assert.equal((await client.call(addr, "GET", "/", undefined, 1000)).status, 200);
+  // On a kept connection, and on a new one, with no time left at all.
+  for (const one of [client, new HttpClient(1)]) {
+    const late = one.call(addr, "POST", "/", {}, 0);
+    await assert.rejects(late, (error: unknown) => error instanceof NoReply);
+  }
+  assert.equal(served, 1);
+  server.close();
+  server.closeAllConnections();
+});
