Hold sockets only while they are needed; no more machines than sockets in a part

Cause: with guests one controller led 570 machines and came to its 800 sockets: each machine holds one for reports and one for commands.

Now connections are closed after the answer while more than 0.55 of the sockets are open, commands go to a twelfth of the sockets at a time and no more idle ones are kept, and a part neither rents nor is given jobs beyond 0.45 machines a socket.

Ruled out: refusing users first (the door does not know who comes before a connection is accepted).

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -145,7 +145,10 @@
       }
       if (open || part.phase !== "serving") continue;
       const plan = this.plan(part);
-      for (const { offer, count } of plan.wanted.values()) await this.begin(part, offer, count);
+      for (const { offer, count } of plan.wanted.values()) {
+        const room = this.settings.mostMachines - this.rentals.count(part.id);
+        if (room > 0) await this.begin(part, offer, Math.min(count, room));
+      }
     }
   }
 
--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -1,6 +1,7 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
 import { keys, sliceCapacity, type JobRecord, type JobSpec, type SliceRecord } from "../ledger/records.js";
+import type { Rentals } from "../ledger/rentals.js";
 import { Bits } from "../platform/bits.js";
 import type { Scope } from "../platform/scope.js";
 import type { Leader } from "../parts/leader.js";
@@ -26,6 +27,7 @@
     private readonly leader: Leader,
     private readonly ownership: Ownership,
     private readonly mirror: Mirror,
+    private readonly rentals: Rentals,
     private readonly committer: Committer,
     private readonly scope: Scope,
   ) {}
@@ -106,14 +108,18 @@
     return (await this.fresh()) ? this.state(spec.ref) : this.unavailable("the state service does not answer");
   }
 
+  /** Home, unless it has all the machines it can hold: then the part with the fewest. */
   private choosePart(): number | null {
     const own = [...this.leader.parts.values()];
+    const least = <T>(list: T[], load: (one: T) => number): T => list.reduce((a, b) => (load(b) < load(a) ? b : a));
+    const machines = (id: number): number => this.rentals.count(id);
     if (own.length > 0) {
-      const load = (p: (typeof own)[number]): number => (p.phase === "serving" ? 0 : 1e6) + p.units.size;
-      return own.reduce((a, b) => (load(b) < load(a) ? b : a)).id;
+      const home = least(own, (p) => (p.phase === "serving" ? 0 : 1e6) + p.units.size).id;
+      if (machines(home) < this.settings.mostMachines) return home;
     }
     const led = this.settings.nodes.map((_, id) => id).filter((id) => this.ownership.owner(id) !== undefined);
-    return led.length === 0 ? null : led[this.turn++ % led.length]!;
+    if (led.length === 0) return null;
+    return own.length > 0 ? least(led, machines) : led[this.turn++ % led.length]!;
   }
 
   private recordsFor(spec: JobSpec, part: number): Map<string, JobRecord | SliceRecord> {
--- a/src/ledger/rentals.ts
+++ b/src/ledger/rentals.ts
@@ -26,6 +26,7 @@
   readonly changes$ = new Subject<string>();
   private readonly machines = new Map<string, RecordedMachine>();
   private readonly byKey = new Map<string, Set<string>>();
+  private readonly counts = new Map<number, number>();
 
   constructor(private readonly mirror: Mirror) {
     mirror.changes$.subscribe((key) => {
@@ -37,6 +38,15 @@
     return this.machines.get(host);
   }
 
+  /** How many machines the part has. */
+  count(part: number): number {
+    return this.counts.get(part) ?? 0;
+  }
+
+  private tally(part: number, by: number): void {
+    this.counts.set(part, this.count(part) + by);
+  }
+
   all(): Iterable<RecordedMachine> {
     return this.machines.values();
   }
@@ -48,6 +58,8 @@
     const changed: string[] = [];
     for (const host of before ?? []) {
       if (host in hosts) continue;
+      const gone = this.machines.get(host);
+      if (gone !== undefined) this.tally(gone.part, -1);
       this.machines.delete(host);
       changed.push(host);
     }
@@ -58,6 +70,8 @@
         const addr = text === "" ? null : text;
         const known = this.machines.get(host);
         if (known !== undefined && known.key === key && known.addr === addr) continue;
+        if (known !== undefined) this.tally(known.part, -1);
+        this.tally(part, 1);
         this.machines.set(host, { host, key, part, type, zone, spot, at, addr });
         changed.push(host);
       }
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from "node:http";
 import { performance } from "node:perf_hooks";
+import type { Duplex } from "node:stream";
 
 export interface Reply {
   status: number;
@@ -21,11 +22,26 @@
 
 const MAX_REPLY_BYTES = 64 * 1024 * 1024;
 
+/** Keeps connections open after use, but no more than `mostIdle` over all hosts. */
+class BoundedAgent extends Agent {
+  constructor(
+    maxSockets: number,
+    private readonly mostIdle: number,
+  ) {
+    super({ keepAlive: true, maxSockets, maxFreeSockets: 4, scheduling: "lifo" });
+  }
+
+  override keepSocketAlive(socket: Duplex): boolean {
+    return Object.keys(this.freeSockets).length < this.mostIdle && Boolean(super.keepSocketAlive(socket));
+  }
+}
+
 export class HttpClient {
   private readonly agent: Agent;
 
-  constructor(maxSockets: number) {
-    this.agent = new Agent({ keepAlive: true, maxSockets, maxFreeSockets: 4, scheduling: "lifo" });
+  /** `maxSockets` to a host; `mostIdle`: hosts to which an idle one is kept. */
+  constructor(maxSockets: number, mostIdle = maxSockets) {
+    this.agent = new BoundedAgent(maxSockets, mostIdle);
   }
 
   call(addr: string, method: string, path: string, body: unknown, timeoutMs: number): Promise<Reply> {
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -6,6 +6,7 @@
 import { HttpState } from "./ledger/state-client.js";
 import { PeerLinks } from "./peers/links.js";
 import { systemClock } from "./platform/clock.js";
+import { commandsAtOnce, Doors } from "./platform/doors.js";
 import { openLog } from "./platform/log.js";
 import { Scope } from "./platform/scope.js";
 import { WatchfulClock } from "./platform/stall.js";
@@ -27,7 +28,7 @@
     {
       state: new HttpState(endpoints.state, timing.stateTimeoutMs),
       cloud: new HttpCloud(endpoints.cloud, timing.reportMs * 2),
-      workers: new HttpWorkers(timing.workerTimeoutMs),
+      workers: new HttpWorkers(timing.workerTimeoutMs, commandsAtOnce(deployment.quota.sockets)),
       peers,
     },
     scope,
@@ -47,12 +48,13 @@
     count: (status) => metrics.countAnswer(status),
   };
   const server = createServer((req, res) => {
+    if (doors.crowded()) res.shouldKeepAlive = false;
     if (req.url === REPORT_PATH && req.method === "POST") serveReport(reports, req, res);
     else app(req, res);
   });
   // Peers, workers and clients close connections; we keep them, within the quota.
   server.keepAliveTimeout = 0;
-  server.maxConnections = Math.floor(deployment.quota.sockets * 0.8);
+  const doors = new Doors(server, deployment.quota.sockets);
   server.on("error", (error) => {
     log.error({ front, err: error.message }, "cannot listen");
     process.exit(1);
--- a/src/settings/derived.ts
+++ b/src/settings/derived.ts
@@ -4,6 +4,9 @@
 /** Clocks of different machines drift apart by at most this (PROTOCOL). */
 const DRIFT = 0.0005;
 
+/** A leader needs the rest for users, commands, and a part that it takes over. */
+const MACHINES_PER_SOCKET = 0.45;
+
 /** Figures the service works with, each a ratio to one of the settings. */
 export interface Timing {
   leaseMs: number;
@@ -30,6 +33,8 @@
   platform: PlatformSettings;
   operators: OperatorSettings;
   timing: Timing;
+  /** More machines than this a part does not take: each holds a socket of its leader. */
+  mostMachines: number;
   /** All controllers in one agreed order; parts have the same numbers. */
   nodes: string[];
   self: string;
@@ -48,6 +53,7 @@
     platform,
     operators,
     self: platform.host_name,
+    mostMachines: Math.max(1, Math.floor(platform.deployment.quota.sockets * MACHINES_PER_SOCKET)),
     nodes,
     timing: {
       leaseMs,
--- a/src/workers/worker-client.ts
+++ b/src/workers/worker-client.ts
@@ -1,3 +1,5 @@
+import { performance } from "node:perf_hooks";
+import { mergeMap, Subject } from "rxjs";
 import { HttpClient, NoReply } from "../platform/http.js";
 import { decodeReport, encodeOrders } from "./codec.js";
 import type { Order, Report } from "./machine.js";
@@ -13,12 +15,34 @@
   command(addr: string, token: number, session: number, orders: Order[]): Promise<CommandReply>;
 }
 
+/**
+ * A part may have more machines than this node has sockets to spare, each with a
+ * connection of its own for reports: commands go to so many at a time, and no more
+ * connections are kept. What waited too long for its turn is not sent.
+ */
 export class HttpWorkers implements WorkerApi {
-  private readonly http = new HttpClient(1);
+  private readonly http: HttpClient;
+  private readonly turns$ = new Subject<() => Promise<unknown>>();
 
-  constructor(private readonly timeoutMs: number) {}
+  constructor(
+    private readonly timeoutMs: number,
+    most: number,
+  ) {
+    this.http = new HttpClient(1, most);
+    this.turns$.pipe(mergeMap((turn) => turn(), most)).subscribe();
+  }
+
+  command(addr: string, token: number, session: number, orders: Order[]): Promise<CommandReply> {
+    const askedAt = performance.now();
+    return new Promise((resolve, reject) => {
+      this.turns$.next(async () => {
+        if (performance.now() - askedAt > this.timeoutMs) return reject(new NoReply("refused", "no turn in time"));
+        await this.call(addr, token, session, orders).then(resolve, reject);
+      });
+    });
+  }
 
-  async command(addr: string, token: number, session: number, orders: Order[]): Promise<CommandReply> {
+  private async call(addr: string, token: number, session: number, orders: Order[]): Promise<CommandReply> {
     const reply = await this.http.call(
       addr,
       "POST",
--- /dev/null
+++ b/test/doors.test.ts
@@ -0,0 +1,69 @@
+import assert from "node:assert/strict";
+import { Agent, createServer, get, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { Doors } from "../src/platform/doors.js";
+import { NoReply } from "../src/platform/http.js";
+import { HttpWorkers } from "../src/workers/worker-client.js";
+
+async function listen(server: Server): Promise<number> {
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return (server.address() as AddressInfo).port;
+}
+
+function shut(server: Server): void {
+  server.close();
+  server.closeAllConnections();
+}
+
+test("more clients than sockets are all served, since a crowded place closes connections after the answer", async () => {
+  const server = createServer((_req, res) => {
+    if (doors.crowded()) res.shouldKeepAlive = false;
+    res.end("ok");
+  });
+  const doors = new Doors(server, 20);
+  const port = await listen(server);
+  const ask = (agent: Agent): Promise<string | undefined> =>
+    new Promise((resolve, reject) => {
+      get({ host: "127.0.0.1", port, agent }, (res) => {
+        res.resume();
+        res.on("end", () => resolve(res.headers.connection));
+      }).on("error", reject);
+    });
+  const agents = Array.from({ length: 40 }, () => new Agent({ keepAlive: true }));
+  const said: (string | undefined)[] = [];
+  for (let round = 0; round < 2; round++) for (const agent of agents) said.push(await ask(agent));
+  assert.ok(said.slice(0, 10).every((header) => header !== "close"));
+  assert.ok(said.filter((header) => header === "close").length >= 50);
+  assert.ok(doors.count <= 17, String(doors.count));
+  for (const agent of agents) agent.destroy();
+  shut(server);
+});
+
+test("commands go to so many workers at a time; what waits too long for its turn is not sent", async () => {
+  let now = 0;
+  let most = 0;
+  let served = 0;
+  const report = JSON.stringify({ host: "i-1", shift: 1, tick: 1 });
+  const answer = (_req: unknown, res: ServerResponse): void => {
+    served++;
+    most = Math.max(most, ++now);
+    setTimeout(() => {
+      now--;
+      res.end(report);
+    }, 30);
+  };
+  const servers = Array.from({ length: 5 }, () => createServer(answer));
+  const ports = await Promise.all(servers.map(listen));
+  const workers = new HttpWorkers(2000, 2);
+  const replies = await Promise.all(ports.map((port) => workers.command(`127.0.0.1:${port}`, 1, 1, [])));
+  assert.ok(replies.every((reply) => reply.executed));
+  assert.equal(most, 2);
+  const before = served;
+  const hurried = new HttpWorkers(45, 1);
+  const settled = await Promise.allSettled(ports.map((port) => hurried.command(`127.0.0.1:${port}`, 1, 1, [])));
+  const refused = settled.filter((one) => one.status === "rejected" && one.reason instanceof NoReply && one.reason.kind === "refused");
+  assert.ok(refused.length >= 2, String(refused.length));
+  assert.ok(served - before < ports.length);
+  servers.forEach(shut);
+});
