Rent nothing for a job that the exchange may yet move

Now nothing is rented for a job until it was decided that it stays, for two answer limits at most.

Test: test/growth.test.ts.

--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -153,6 +153,7 @@
       for (const unit of candidates) {
         const wait = waits.get(unit.key) ?? Infinity;
         if (wait < this.tuning.phi * 1000) {
+          unit.weighed = true;
           this.asked.set(unit.key, now + this.settings.timing.reportMs);
           continue;
         }
@@ -168,6 +169,7 @@
     this.asked.set(unit.key, now + sigma * 1000);
     const others = this.settings.nodes.map((_, id) => id).filter((id) => id !== part.id && this.ownerOf(id) !== null);
     const volunteers = mode === "ask" ? [] : others.filter((id) => now - (this.volunteers.get(id)?.at ?? -Infinity) < sigma * 1500);
+    if (volunteers.length === 0 && others.length === 0) unit.weighed = true;
     if (volunteers.length === 0) return mode !== "volunteers" && this.query(part, unit, waitMs, others, []);
     // Volunteers first; if none of them beats home, it is as if none had announced.
     const rest = mode === "volunteers" ? [] : others.filter((id) => !volunteers.includes(id));
@@ -194,6 +196,7 @@
     }
     if (this.asking.open.size === 0) {
       this.asking = null;
+      unit.weighed = true;
       return false;
     }
     this.asking.decide = () => this.decide(id);
@@ -251,12 +254,14 @@
     const most = this.sliceable(unit) && !(soon && this.movable(unit)) ? roomiest(asking.bids) : null;
     if (most !== null) {
       this.stats.slices++;
+      unit.weighed = true;
       this.moveSlice(part, unit, most.part, most.atOnce);
       return;
     }
     if (!this.movable(unit) || choice.part === part.id) {
       if (asking.rest.length > 0 && this.query(part, unit, asking.home.waitMs, asking.rest, [])) return;
       this.stats.home++;
+      unit.weighed = true;
       return;
     }
     const { at } = this.volunteers.get(choice.part) ?? { at: -Infinity };
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -30,6 +30,9 @@
 /** Reports for which an offer counts as sought: then whoever seeks it has asked again. */
 const SOUGHT_REPORTS = 3;
 
+/** Answer limits for which a job may wait for its turn to ask other parts before machines are rented for it. */
+const WEIGH_ANSWERS = 2;
+
 interface Refusal {
   until: number;
   pauseMs: number;
@@ -170,6 +173,7 @@
       types: this.leader.types,
       open: (offer) => this.open(offer),
       allotment: (team) => this.allotments.held(part.id, team),
+      weighMs: this.settings.operators.exchange.mode === "off" ? 0 : this.settings.operators.exchange.answer_limit * WEIGH_ANSWERS * 1000,
     });
   }
 
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -15,6 +15,8 @@
   /** Offers the cloud refused lately are left out for a while. */
   open: (offer: Offer) => boolean;
   allotment: (team: string) => Usage;
+  /** For so long nothing is rented for a job that the exchange may yet move. */
+  weighMs: number;
 }
 
 export function offerName(offer: Offer): string {
@@ -64,6 +66,8 @@
     if (left === 0 || (isGang && left < unit.waiting.length)) continue;
     // A job that fails wherever it runs is not worth more machines.
     if (suspect(unit)) continue;
+    // Rented at home while it asks elsewhere, machines would come up for a job that has gone.
+    if (!unit.weighed && !unit.moved && unit.lo === 0 && now - unit.arrivedAt < context.weighMs) continue;
     usage.set(spec.team, { cpus: used.cpus + spec.cpus * left, gpus: used.gpus + spec.gpus * left });
     const layOut = (task: JobSpec, count: number): number => {
       const chosen = placeTasks(task, count, slots, zonesInUse(part, unit), NOBODY, false);
--- a/src/queue/unit.ts
+++ b/src/queue/unit.ts
@@ -37,6 +37,8 @@
   submittedWall: number;
   arrivedAt: number;
   moved: boolean;
+  /** The exchange has looked for a better place and found none so far. */
+  weighed: boolean;
   /** A transaction that gives it away is under way: it must not be started. */
   leaving: boolean;
   started: boolean;
@@ -74,6 +76,7 @@
     submittedWall,
     arrivedAt: now,
     moved: false,
+    weighed: false,
     leaving: false,
     started: false,
     notBefore: -Infinity,
--- a/test/growth.test.ts
+++ b/test/growth.test.ts
@@ -132,7 +132,7 @@
   zones: ["a", "b"],
 };
 
-function planFor(part: Part, change: { closed?: (offer: { zone: string; spot: boolean }) => boolean }) {
+function planFor(part: Part, change: { closed?: (offer: { zone: string; spot: boolean }) => boolean; weighMs?: number }) {
   return planHires(part, {
     now: NOW,
     silentMs: 5000,
@@ -140,9 +140,19 @@
     types: [type],
     open: (offer) => !(change.closed?.(offer) ?? false),
     allotment: unlimited,
+    weighMs: change.weighMs ?? 0,
   });
 }
 
+test("nothing is rented for a job that the exchange may yet move, unless that takes long", () => {
+  const { part } = partOf(0, type);
+  const unit = queueUp(part, specOf({ tasks: 2, cpus: 15 }));
+  assert.equal(planFor(part, { weighMs: NOW + 1 }).wanted.size, 0);
+  assert.equal(planFor(part, { weighMs: NOW }).wanted.size, 1, "it has waited long enough");
+  unit.weighed = true;
+  assert.equal(planFor(part, { weighMs: NOW + 1 }).wanted.size, 1, "it stays");
+});
+
 test("a long queue asks for no more machines of a kind than one call can rent", () => {
   const { part } = partOf(0, type);
   queueUp(part, specOf({ tasks: 5000, cpus: 15 }));
