--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -50,6 +50,11 @@
 export function statusLines(view: Record<string, unknown>): string {
   const lines = [`node ${String(view["node"])}, ready: ${String(view["ready"])}, state read ${String(view["stateAgeMs"])} ms ago`];
   lines.push(`present: ${(view["present"] as string[]).join(", ")}`);
+  for (const { node, ms } of (view["silent"] ?? []) as { node: string; ms: number }[])
+    lines.push(`silent: ${node} for ${Math.round(ms / 1000)} s`);
+  if (view["cutOffFromWorkers"] === true) lines.push("this node cannot reach its workers: others should lead");
+  if (Number(view["stalls"] ?? 0) > 0)
+    lines.push(`this process stood still ${String(view["stalls"])} times, ${String(view["stoodStillMs"])} ms in all`);
   for (const part of view["parts"] as Record<string, unknown>[]) {
     const known =
       part["phase"] === undefined
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -42,6 +42,7 @@
   readonly exchange: Exchange;
   readonly jobs: Jobs;
   readonly relay: Relay;
+  readonly stalls = { count: 0, ms: 0 };
   private peersWithState = new Map<string, number>();
 
   constructor(
@@ -146,6 +147,8 @@
   }
 
   private stoodStill(ms: number): void {
+    this.stalls.count++;
+    this.stalls.ms += Math.round(ms);
     this.leader.stoodStill(ms);
     this.ownership.stoodStill(ms);
     this.fleet.stoodStill(ms);
--- a/src/status/metrics.ts
+++ b/src/status/metrics.ts
@@ -21,7 +21,7 @@
       registers,
     });
     this.answers = new Counter({ name: "thorntrail_answers_total", help: "Answers by status", labelNames: ["status"], registers });
-    const { leader, exchange, fleet, committer, relay } = controller;
+    const { leader, exchange, fleet, committer, relay, stalls, ownership, fitness } = controller;
     const gauge = (name: string, help: string, read: () => number): void => {
       new Gauge({
         name: `thorntrail_${name}`,
@@ -61,6 +61,10 @@
     gauge("state_conflicts_total", "Transactions refused for a changed stamp", () => committer.stats.conflicts);
     gauge("state_unanswered_total", "Transactions without an answer", () => committer.stats.unanswered);
     gauge("relayed_total", "Requests a peer answered for this node", () => relay.stats.answered);
+    gauge("stalls_total", "Times this process stood still while its clocks ran on", () => stalls.count);
+    gauge("stalled_ms_total", "For how long, in all", () => stalls.ms);
+    gauge("silent_peers", "Controllers whose presence ran out", () => ownership.silentNodes().length);
+    gauge("cut_off_from_workers", "1 while this node cannot reach its workers", () => Number(fitness.unfit));
     gauge("takeover_ms", "From taking the newest part to its first placement pass", () => leader.stats.fencedMs);
     gauge(
       "price_per_hour",
--- a/src/status/view.ts
+++ b/src/status/view.ts
@@ -4,7 +4,7 @@
 
 /** The cluster as this node sees it, for the person on call. */
 export function clusterView(controller: Controller): Record<string, unknown> {
-  const { settings, mirror, rentals, ownership, leader, exchange, fitness } = controller;
+  const { settings, mirror, rentals, ownership, leader, exchange, fitness, stalls } = controller;
   const machines = [...rentals.all()];
   const parts = settings.nodes.map((_, id) => {
     const part = leader.parts.get(id);
@@ -39,6 +39,8 @@
     stateAgeMs: Number.isFinite(mirror.ageMs()) ? Math.round(mirror.ageMs()) : null,
     silent: ownership.silentNodes(),
     cutOffFromWorkers: fitness.unfit,
+    stalls: stalls.count,
+    stoodStillMs: stalls.ms,
     present: settings.nodes.filter((node) => ownership.alive(node)),
     parts,
     allotments,
