--- a/src/controller.ts
+++ b/src/controller.ts
@@ -98,17 +98,7 @@
       around.peers,
       scope,
     );
-    this.exchange = new Exchange(
-      settings,
-      this.leader,
-      this.ownership,
-      this.allotments,
-      this.mirror,
-      this.committer,
-      around.peers,
-      scope,
-      (part, unit) => this.fleet.rentableMs(part, unit),
-    );
+    this.exchange = new Exchange(settings, this.leader, this.ownership, this.allotments, this.mirror, this.committer, around.peers, scope);
     this.jobs = new Jobs(settings, this.leader, this.ownership, this.mirror, this.rentals, this.committer, scope);
     this.relay = new Relay(settings, this.jobs, around.peers, () => this.peersHavingState(), scope);
   }
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -50,8 +50,6 @@
     private readonly committer: Committer,
     private readonly peers: PeerApi,
     private readonly scope: Scope,
-    /** How soon a machine rented for the job could be up. */
-    private readonly rentableMs: (part: Part, unit: Unit) => number,
   ) {}
 
   private get tuning() {
@@ -186,9 +184,7 @@
       id,
       part,
       unit,
-      // A part that can rent holds the job once a machine is up. Were it not to count, jobs of
-      // parts with few machines would flee to the fullest part, which then has them all.
-      home: { part: part.id, waitMs: Math.min(waitMs, this.rentableMs(part, unit)), runMs, utilization: utilization(part), atOnce: 0 },
+      home: { part: part.id, waitMs, runMs, utilization: utilization(part), atOnce: 0 },
       open: new Set(),
       bids: [],
       rest,
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -11,10 +11,9 @@
 import type { Rate } from "../platform/rate.js";
 import type { Scope } from "../platform/scope.js";
 import type { Settings } from "../settings/derived.js";
-import type { Unit } from "../queue/unit.js";
 import type { Machine } from "../workers/machine.js";
 import type { CloudApi, Offer } from "./cloud-client.js";
-import { bootMsFor, offerName, planHires, type HirePlan } from "./plan.js";
+import { offerName, planHires, type HirePlan } from "./plan.js";
 
 const LIST_PAGE = 500;
 const MAX_DELETE = 100;
@@ -178,12 +177,6 @@
     });
   }
 
-  /** How soon a machine rented for a job could be up, as far as the cloud has not refused its kind of late. */
-  rentableMs(part: Part, unit: Unit): number {
-    if (this.rentals.count(part.id) >= this.settings.mostMachines) return Infinity;
-    return bootMsFor(unit, { types: this.leader.types, open: (offer) => !this.refused.has(offerName(offer)) });
-  }
-
   private async begin(part: Part, offer: Offer, count: number): Promise<void> {
     // All that a rental brings is recorded in one value.
     const most = Math.min(MAX_HIRE, rentalCapacity(this.settings.platform.deployment.state.value_kb));
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -123,11 +123,6 @@
   return best?.zone ?? null;
 }
 
-/** When the machine would be up that the part could rent for a job; infinite: none is to be had. */
-export function bootMsFor(unit: Unit, context: Pick<PlanContext, "types" | "open">): number {
-  return (cheapest(unit, unit.spec, 1, context)?.type.bootS ?? Infinity) * 1000;
-}
-
 interface Choice {
   type: MachineType;
   offer: Offer;
@@ -140,7 +135,7 @@
   unit: Unit,
   task: JobSpec,
   left: number,
-  context: Pick<PlanContext, "types" | "open">,
+  context: PlanContext,
   more: (offer: Offer) => boolean = () => true,
 ): Choice | null {
   let best: Choice | null = null;
