--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -110,6 +110,12 @@
     this.volunteers.set(message.part, { utilization: message.utilization, at: this.scope.clock.now() });
   }
 
+  /** An announcement counts until half an interval after the next was due. */
+  private volunteered(part: number): boolean {
+    const at = this.volunteers.get(part)?.at ?? -Infinity;
+    return this.scope.clock.now() - at < this.tuning.sigma * 1500;
+  }
+
   // ---- moving
 
   private movable(unit: Unit): boolean {
@@ -168,7 +174,7 @@
     const { sigma, mode } = this.tuning;
     this.asked.set(unit.key, now + sigma * 1000);
     const others = this.settings.nodes.map((_, id) => id).filter((id) => id !== part.id && this.ownerOf(id) !== null);
-    const volunteers = mode === "ask" ? [] : others.filter((id) => now - (this.volunteers.get(id)?.at ?? -Infinity) < sigma * 1500);
+    const volunteers = mode === "ask" ? [] : others.filter((id) => this.volunteered(id));
     if (volunteers.length === 0 && others.length === 0) unit.weighed = true;
     if (volunteers.length === 0) return mode !== "volunteers" && this.query(part, unit, waitMs, others, []);
     // Volunteers first; if none of them beats home, it is as if none had announced.
@@ -264,8 +270,7 @@
       unit.weighed = true;
       return;
     }
-    const { at } = this.volunteers.get(choice.part) ?? { at: -Infinity };
-    this.stats[this.scope.clock.now() - at < this.tuning.sigma * 1500 ? "volunteer" : "asked"]++;
+    this.stats[this.volunteered(choice.part) ? "volunteer" : "asked"]++;
     this.move(part, unit, choice.part);
   }
 
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -13,11 +13,10 @@
 import type { Settings } from "../settings/derived.js";
 import type { Machine } from "../workers/machine.js";
 import type { CloudApi, Offer } from "./cloud-client.js";
-import { offerName, planHires, type HirePlan } from "./plan.js";
+import { MOST_OF_AN_OFFER, offerName, planHires, type HirePlan } from "./plan.js";
 
 const LIST_PAGE = 500;
 const MAX_DELETE = 100;
-const MAX_HIRE = 50;
 /** However cheap it is, a machine nobody uses goes back in the end. */
 const MOST_CHEAPNESS = 8;
 
@@ -179,7 +178,7 @@
 
   private async begin(part: Part, offer: Offer, count: number): Promise<void> {
     // All that a rental brings is recorded in one value.
-    const most = Math.min(MAX_HIRE, rentalCapacity(this.settings.platform.deployment.state.value_kb));
+    const most = Math.min(MOST_OF_AN_OFFER, rentalCapacity(this.settings.platform.deployment.state.value_kb));
     const name = `${part.id}.${part.term}.${++this.hires}`;
     const value: RentalRecord = { part: part.id, ...offer, count: Math.min(count, most), at: this.scope.clock.wall() };
     const key = keys.rental(name);
@@ -249,7 +248,7 @@
 
   private wantsReturn(part: Part, machine: Machine, needed: ReadonlySet<string>): string | null {
     const now = this.scope.clock.now();
-    const type = this.leader.types.find((t) => t.name === machine.type);
+    const type = this.leader.typeOf(machine.type);
     if (type === undefined || machine.deleting) return null;
     const { idle_per_boot, late_per_boot } = this.settings.operators.fleet;
     const bootMs = type.bootS * 1000;
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -99,8 +99,8 @@
 }
 
 const NOBODY: ReadonlyMap<string, number> = new Map();
-/** A call to the cloud rents no more than this many, so planning further is for nothing. */
-const MOST_OF_AN_OFFER = 50;
+/** A call to the cloud rents no more than this many (PROTOCOL), so planning further is for nothing. */
+export const MOST_OF_AN_OFFER = 50;
 const MOST_ROUNDS = 64;
 
 /** Of the zones the job may use, the one in which the fewest tasks lack room; the cheapest offer decides a tie. */
--- /dev/null
+++ b/src/parts/holdings.ts
@@ -0,0 +1,180 @@
+import type { Mirror } from "../ledger/mirror.js";
+import { keys, type JobRecord, type OwnerRecord, type SliceRecord } from "../ledger/records.js";
+import type { Rentals } from "../ledger/rentals.js";
+import { Bits } from "../platform/bits.js";
+import { sleep } from "../platform/clock.js";
+import { newUnit, shorten, type Unit } from "../queue/unit.js";
+import { newMachine, type Machine } from "../workers/machine.js";
+import { acquit, dropAll, newFindings } from "../workers/reports.js";
+import type { Consequences } from "./consequences.js";
+import type { Led } from "./led.js";
+import { addUnit, newPart, removeUnit, type Part } from "./part.js";
+import type { Progress } from "./progress.js";
+import type { Watch } from "./watch.js";
+
+/** What the records say this node holds: parts won and lost, their machines, their work. */
+export class Holdings {
+  private readonly taking = new Set<string>();
+
+  constructor(
+    private readonly led: Led,
+    private readonly life: string,
+    private readonly mirror: Mirror,
+    private readonly rentals: Rentals,
+    private readonly progress: Progress,
+    private readonly consequences: Consequences,
+    private readonly watch: Watch,
+  ) {}
+
+  start(): void {
+    this.led.scope.listen(this.mirror.changes$, (key) => this.onChange(key));
+    this.led.scope.listen(this.rentals.changes$, (host) => this.reviewMachine(host));
+  }
+
+  private onChange(key: string): void {
+    if (key === "") {
+      for (let part = 0; part < this.led.settings.nodes.length; part++) this.reviewOwner(part);
+      return;
+    }
+    if (key.startsWith(keys.owners)) this.reviewOwner(Number(key.slice(keys.owners.length)));
+    else if (key.startsWith(keys.jobs) || key.startsWith(keys.slices)) this.reviewWork(key);
+    else if (key.startsWith(keys.allotments)) this.led.wake();
+  }
+
+  private reviewOwner(id: number): void {
+    const entry = this.mirror.get<OwnerRecord>(keys.owner(id));
+    const held = this.led.parts.get(id);
+    const ours = entry !== undefined && entry.v.owner === this.led.settings.self && entry.v.life === this.life;
+    if (held !== undefined && (!ours || held.term !== entry.stamp)) {
+      this.led.parts.delete(id);
+      this.led.scope.log.info({ part: id, term: held.term, now: entry?.v.owner }, "part lost");
+    }
+    if (ours && !this.led.parts.has(id)) void this.takeFresh(id, entry.stamp);
+  }
+
+  /**
+   * All that the former leader wrote comes before our claim in the ledger, but
+   * our copy may lag behind the claim: a machine or job missed here would be
+   * neither fenced nor counted. So read up to the claim before building the part.
+   */
+  private async takeFresh(id: number, term: number): Promise<void> {
+    const claim = `${id}/${term}`;
+    if (this.taking.has(claim)) return;
+    this.taking.add(claim);
+    for (;;) {
+      try {
+        await this.mirror.fresh();
+        break;
+      } catch {
+        await sleep(this.led.scope.clock, this.led.settings.timing.reportMs / 5);
+      }
+    }
+    this.taking.delete(claim);
+    const entry = this.mirror.get<OwnerRecord>(keys.owner(id));
+    if (entry?.stamp === term && entry.v.life === this.life && !this.led.parts.has(id)) this.take(id, term);
+  }
+
+  private take(id: number, term: number): void {
+    const part = newPart(id, term, this.led.now);
+    this.led.parts.set(id, part);
+    this.led.stats.takeovers++;
+    for (const { host, part: of } of this.rentals.all()) if (of === id) this.reviewMachine(host);
+    for (const key of this.mirror.rows(keys.jobs).keys()) this.reviewWork(key);
+    for (const key of this.mirror.rows(keys.slices).keys()) this.reviewWork(key);
+    this.led.scope.log.info({ part: id, term, machines: part.machines.size, queue: part.units.size }, "leading; fencing machines");
+    this.watch.look();
+  }
+
+  private reviewMachine(host: string): void {
+    const entry = this.rentals.get(host);
+    for (const part of this.led.parts.values()) {
+      const machine = part.machines.get(host);
+      if (entry === undefined || entry.part !== part.id) {
+        if (machine !== undefined) {
+          // Its record goes only after the cloud has confirmed that it is gone.
+          this.forgetMachine(part, machine);
+        }
+        continue;
+      }
+      if (machine !== undefined) {
+        if (entry.addr !== null && !machine.up) {
+          machine.up = true;
+          machine.idleSince = this.led.now;
+        }
+        continue;
+      }
+      const type = this.led.typeOf(entry.type);
+      const capacity = type === undefined ? { cpus: 0, gpus: 0, ram: 0 } : { cpus: type.cpus, gpus: type.gpus, ram: type.ram };
+      const wallAge = Math.max(0, this.led.scope.clock.wall() - entry.at);
+      const fresh = newMachine(host, entry.type, entry.zone, entry.spot, capacity, this.led.now - wallAge);
+      fresh.up = entry.addr !== null;
+      fresh.addr = entry.addr;
+      fresh.idleSince = this.led.now;
+      // A machine whose record never said `up` was never given work.
+      fresh.fenced = !fresh.up;
+      // The former leader may go on answering until it has to fall silent.
+      fresh.answeredAt = fresh.up ? this.led.now + this.led.settings.timing.silentAfterMs : -Infinity;
+      fresh.books = part.usage;
+      part.machines.set(host, fresh);
+    }
+    this.led.wake();
+  }
+
+  forgetMachine(part: Part, machine: Machine): void {
+    const findings = newFindings();
+    dropAll(machine, this.led.now, findings);
+    part.machines.delete(machine.host);
+    this.consequences.act(part, findings);
+  }
+
+  private reviewWork(key: string): void {
+    const isJob = key.startsWith(keys.jobs);
+    const entry = this.mirror.get<JobRecord | SliceRecord>(key);
+    if (entry === undefined) return;
+    const ref = isJob ? (entry.v as JobRecord).spec.ref : (entry.v as SliceRecord).ref;
+    const job = this.mirror.get<JobRecord>(keys.job(ref))?.v;
+    if (job === undefined) return;
+    if (isJob && job.end !== undefined) {
+      for (const part of this.led.parts.values()) for (const unit of [...(part.byRef.get(ref) ?? [])]) this.endUnit(part, unit);
+      return;
+    }
+    if (job.end !== undefined) return;
+    const lo = isJob ? 0 : (entry.v as SliceRecord).lo;
+    for (const part of this.led.parts.values()) {
+      const unit = part.units.get(key);
+      if (entry.v.part !== part.id) {
+        if (unit !== undefined && unit.placed.size === 0) removeUnit(part, unit);
+        continue;
+      }
+      if (unit !== undefined && entry.v.hi < unit.hi) {
+        shorten(unit, entry.v.hi);
+        if (unit.done.full) this.progress.record(part, unit);
+      }
+      if (unit === undefined) {
+        const bits = Bits.decode(entry.v.hi - lo, entry.v.done);
+        const fresh = newUnit(key, job.spec, lo, entry.v.hi, bits, job.at, this.led.now);
+        fresh.moved = entry.v.moved === true;
+        addUnit(part, fresh);
+        this.led.wake();
+      }
+    }
+    // A slice elsewhere completed: the first slice's leader may now call the job done.
+    if (!isJob) {
+      const part = this.led.parts.get(job.part);
+      const first = part?.units.get(keys.job(ref));
+      if (part !== undefined && first !== undefined && first.done.full) this.progress.record(part, first);
+    }
+  }
+
+  private endUnit(part: Part, unit: Unit): void {
+    unit.ended = true;
+    acquit(part, unit);
+    for (const placement of unit.placed.values()) {
+      if (!unit.done.has(placement.task)) placement.stop = { graceS: 0 };
+      const machine = part.machines.get(placement.host);
+      if (machine !== undefined) this.led.dispatch$.next({ part, machine });
+    }
+    removeUnit(part, unit);
+    this.led.wake();
+  }
+}
--- a/src/parts/led.ts
+++ b/src/parts/led.ts
@@ -1,7 +1,7 @@
 import type { Subject } from "rxjs";
 import type { MachineType } from "../fleet/cloud-client.js";
 import type { Scope } from "../platform/scope.js";
-import type { RunHistory } from "../queue/estimate.js";
+import type { RunHistory } from "../queue/history.js";
 import type { Shortage } from "../queue/pass.js";
 import type { Settings } from "../settings/derived.js";
 import type { Machine } from "../workers/machine.js";
@@ -21,6 +21,7 @@
   readonly parts: Map<number, Part>;
   readonly history: RunHistory;
   readonly types: MachineType[];
+  typeOf(name: string): MachineType | undefined;
   readonly stats: LeadStats;
   /** Machines with orders that should not wait for the next report. */
   readonly dispatch$: Subject<{ part: Part; machine: Machine }>;
--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -50,7 +50,7 @@
   }
 
   bootMs(machine: Machine): number {
-    return (this.led.types.find((type) => type.name === machine.type)?.bootS ?? 0) * 1000;
+    return (this.led.typeOf(machine.type)?.bootS ?? 0) * 1000;
   }
 
   /** The time in which tasks of the class should start; without such an aim, two leases. */
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -1,54 +1,14 @@
 import type { JobSpec } from "../ledger/records.js";
-import type { Part, Usage } from "../parts/part.js";
+import type { Part } from "../parts/part.js";
 import { freeRoom, usable, type Capacity, type Machine } from "../workers/machine.js";
-import { inOrder, rank, type LocalOrder } from "./order.js";
-import { allowed, copies, type Slot } from "./placement.js";
-import { beyond } from "./preempt.js";
+import { inOrder, type LocalOrder } from "./order.js";
+import type { RunHistory } from "./history.js";
+import { allowed, copies } from "./placement.js";
 import { ready } from "./pass.js";
+import { shift, SoftRooms, type Room, type SoftContext } from "./soft-rooms.js";
 import { suspect, type Unit } from "./unit.js";
 
-/** Owners' guesses are often wrong by half: what a class counts as before it has shown anything. */
-const USUAL_SPREAD = Math.log(1.5);
-const MOST_WEIGHT = 50;
-/** Of the spread, by which a task that runs longer than expected goes on, in the middle. */
-const GOES_ON = 0.7;
-
-/**
- * Run times by class. Owners' guesses are off by half or more and on some days
- * all to one side, so the guess is corrected by what the class has shown. Also
- * by how much single tasks differ from that: one that has outrun what was expected
- * is no likelier to end at once for it. Taken as if it were, a full part would seem
- * about to be free, and jobs would gather where they wait the longest.
- */
-export class RunHistory {
-  private readonly ratios = new Map<string, { log: number; square: number; weight: number }>();
-
-  constructor(private readonly mode: "learned" | "owner") {}
-
-  note(spec: JobSpec, seconds: number): void {
-    if (spec.guessS <= 0 || seconds <= 0) return;
-    const entry = this.ratios.get(spec.klass) ?? { log: 0, square: USUAL_SPREAD ** 2, weight: 1 };
-    const weight = Math.min(entry.weight + 1, MOST_WEIGHT);
-    const off = Math.log(seconds / spec.guessS) - entry.log;
-    entry.log += off / weight;
-    entry.square += (off ** 2 - entry.square) / weight;
-    entry.weight = weight;
-    this.ratios.set(spec.klass, entry);
-  }
-
-  expectS(spec: JobSpec): number {
-    const entry = this.mode === "learned" ? this.ratios.get(spec.klass) : undefined;
-    return Math.max(1, spec.guessS * Math.exp(entry?.log ?? 0));
-  }
-
-  /** What is left of a task that has run for so long. */
-  leftS(spec: JobSpec, ranS: number): number {
-    const spread = Math.sqrt(this.ratios.get(spec.klass)?.square ?? USUAL_SPREAD ** 2);
-    return Math.max(1, this.expectS(spec) - ranS, ranS * spread * GOES_ON);
-  }
-}
-
-export interface EstimateContext {
+export interface EstimateContext extends SoftContext {
   now: number;
   silentMs: number;
   order: LocalOrder;
@@ -56,8 +16,6 @@
   bootMs: (machine: Machine) => number;
   /** After this long, lower work is stopped for a job that waits. */
   preemptAfterMs: number;
-  guaranteed: (unit: Unit) => boolean;
-  excess: ReadonlyMap<string, Usage>;
 }
 
 /** Room that comes free; `times` tasks of the same size at once. */
@@ -68,12 +26,6 @@
   times: number;
 }
 
-/** A machine while the queue is played forward. */
-interface Room extends Slot {
-  zone: number;
-  index: number;
-}
-
 /** Of the age at which a machine counts as silent: what comes free within it comes free together. */
 const MOMENT = 1 / 5;
 const MAX_MOMENTS = 400;
@@ -258,81 +210,6 @@
   return waits;
 }
 
-function shift(room: Capacity, by: Capacity, times: number): void {
-  room.cpus += by.cpus * times;
-  room.gpus += by.gpus * times;
-  room.ram += by.ram * times;
-}
-
-/**
- * Could lower work on the part's machines be stopped to hold a job? Without
- * counting that, urgent jobs flee from parts full of low work to parts where
- * nothing may be stopped for them, and there they stay put.
- */
-class SoftRooms {
-  private readonly lists = new Map<string, { room: Room; free: Capacity }[]>();
-  private readonly lowest: number;
-
-  constructor(
-    part: Part,
-    private readonly rooms: Room[],
-    private readonly context: EstimateContext,
-  ) {
-    let lowest = -1;
-    for (const unit of part.units.values()) {
-      if (unit.placed.size > 0 && unit.spec.kind !== "gang") lowest = Math.max(lowest, rank(unit.spec.urgency));
-    }
-    this.lowest = lowest;
-  }
-
-  private for(unit: Unit, level: number, claims: boolean): { room: Room; free: Capacity }[] {
-    const name = `${level}|${claims ? unit.spec.team : ""}`;
-    let list = this.lists.get(name);
-    if (list === undefined) {
-      list = [];
-      for (const room of this.rooms) {
-        if (!room.machine.fenced || !room.machine.up) continue;
-        const free = { ...room.free };
-        for (const placement of room.machine.placements.values()) {
-          const { spec } = placement.unit;
-          const lower = spec.kind !== "gang" && rank(spec.urgency) > level;
-          if (lower || (claims && beyond(placement, unit, this.context.excess))) shift(free, spec, 1);
-        }
-        list.push({ room, free });
-      }
-      this.lists.set(name, list);
-    }
-    return list;
-  }
-
-  /** If so, what it takes is not there for the next one. */
-  makeRoom(unit: Unit, tasks: number): boolean {
-    const { spec } = unit;
-    const level = rank(spec.urgency);
-    const claims = this.context.guaranteed(unit);
-    if (spec.spread || (!claims && level >= this.lowest)) return false;
-    const list = this.for(unit, level, claims);
-    const zones = spec.oneZone ? new Set(list.map(({ room }) => room.machine.zone)) : [null];
-    for (const zone of zones) if (this.makeRoomIn(zone, spec, tasks, list)) return true;
-    return false;
-  }
-
-  private makeRoomIn(zone: string | null, spec: JobSpec, tasks: number, list: { room: Room; free: Capacity }[]): boolean {
-    const chosen: { free: Capacity; n: number }[] = [];
-    let missing = tasks;
-    for (const { room, free } of list) {
-      if (missing === 0) break;
-      if (zone !== null && room.machine.zone !== zone) continue;
-      const n = allowed(spec, room.machine) ? Math.min(missing, copies(spec, free)) : 0;
-      if (n > 0) chosen.push({ free, n });
-      missing -= n;
-    }
-    if (missing > 0) return false;
-    for (const { free, n } of chosen) shift(free, spec, -n);
-    return true;
-  }
-}
-
 /** Keeps `events` in order of time. */
 function insert(events: Event[], event: Event): void {
   let low = 0;
