Skip what needs no less than a task that found no room

Cause: a guest's hundreds of small jobs each differ a little in size, so remembering shapes without room did not help: each looked at every machine in every pass and plan.

Now what needs at least as much of everything as a task that found no room, under the same conditions, is not tried again in that pass or plan. Ruled out: rounding sizes (would place less). Test: test/growth.test.ts.

--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,6 +1,7 @@
 import type { JobSpec } from "../ledger/records.js";
 import { tasksWithin, usageByTeam, type Part, type Usage } from "../parts/part.js";
 import { ready, usableSlots, zonesInUse } from "../queue/pass.js";
+import { Hopeless } from "../queue/hopeless.js";
 import { inOrder, type LocalOrder } from "../queue/order.js";
 import { allowed, copies, placeTasks, type Slot } from "../queue/placement.js";
 import { suspect, type Unit } from "../queue/unit.js";
@@ -53,6 +54,7 @@
   }
   const usage = usageByTeam(part);
   let imagined = 0;
+  const noRoom = new Hopeless();
   const queue = inOrder(
     [...part.units.values()].filter((unit) => ready(unit, now)),
     context.order,
@@ -69,6 +71,8 @@
     // Rented at home while it asks elsewhere, machines would come up for a job that has gone.
     if (!unit.weighed && !unit.moved && unit.lo === 0 && now - unit.arrivedAt < context.weighMs) continue;
     usage.set(spec.team, { cpus: used.cpus + spec.cpus * left, gpus: used.gpus + spec.gpus * left });
+    // Neither room nor an offer: nor for what needs more.
+    if (noRoom.has(spec)) continue;
     const layOut = (task: JobSpec, count: number): number => {
       const chosen = placeTasks(task, count, slots, zonesInUse(part, unit), NOBODY, false);
       for (const slot of chosen) needed.add(slot.machine.host);
@@ -80,7 +84,10 @@
       left -= layOut(task, left);
       if (left <= 0) break;
       const best = cheapest(unit, task, left, context, (offer) => (wanted.get(offerName(offer))?.count ?? 0) < MOST_OF_AN_OFFER);
-      if (best === null) break;
+      if (best === null) {
+        noRoom.add(spec);
+        break;
+      }
       const { type, offer } = best;
       const name = offerName(offer);
       const entry = wanted.get(name) ?? { offer, count: 0 };
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -1,5 +1,6 @@
 import { nextAttempt, tasksWithin, usageByTeam, type Part, type Usage } from "../parts/part.js";
 import { attemptKey, freeRoom, hold, usable, type Machine } from "../workers/machine.js";
+import { Hopeless } from "./hopeless.js";
 import { inOrder, type LocalOrder } from "./order.js";
 import { placeTasks, type Slot } from "./placement.js";
 import { beside, reserve, type Reservation, type ReserveContext } from "./reserve.js";
@@ -62,6 +63,7 @@
   const slots = usableSlots(part, context.now, context.silentMs);
   const usage = usageByTeam(part);
   const hopeless = new Set<string>();
+  const noRoom = new Hopeless();
   const kept: Reservation[] = [];
   const keptFor = new Set<string>();
   const lacking = new Map<string, { unit: Unit; missing: number }>();
@@ -83,13 +85,16 @@
     const isGang = spec.kind === "gang";
     // After what the team lacks has been noted: without a larger allotment no
     // machines would be rented for this work either.
-    if (hopeless.has(shape) && unit.failedOn.size === 0) continue;
+    if (unit.failedOn.size === 0 && (hopeless.has(shape) || (!isGang && noRoom.has(spec)))) continue;
     if (within === 0 || (isGang && within < wanted)) continue;
     const open = beside(unit, slots, kept, context);
     const chosen = placeTasks(spec, within, open, zonesInUse(part, unit), unit.failedOn, isGang);
     if (chosen.length < within) {
       // Others of its shape may end in time to use what is kept.
-      if (open.length === slots.length) hopeless.add(shape);
+      if (open.length === slots.length && unit.failedOn.size === 0) {
+        hopeless.add(shape);
+        if (!isGang) noRoom.add(spec);
+      }
       const room = isGang && !keptFor.has(spec.klass) && !suspect(unit) ? reserve(part, unit, open, context) : null;
       if (room !== null) {
         keptFor.add(spec.klass);
--- a/test/growth.test.ts
+++ b/test/growth.test.ts
@@ -4,6 +4,7 @@
 import type { MachineType } from "../src/fleet/cloud-client.js";
 import { nextAttempt, usageByTeam, type Part } from "../src/parts/part.js";
 import { estimateWaits, type EstimateContext } from "../src/queue/estimate.js";
+import { Hopeless } from "../src/queue/hopeless.js";
 import { RunHistory } from "../src/queue/history.js";
 import { runPass } from "../src/queue/pass.js";
 import { newFindings, takeReport } from "../src/workers/reports.js";
@@ -170,3 +171,22 @@
     [["a", 2]],
   );
 });
+
+test("what needs no less than a task without room finds none either; what needs less is tried", () => {
+  const { part } = partOf(2, { cpus: 4, gpus: 0, ram: 64 });
+  queueUp(part, specOf({ ref: "run-000001", tasks: 7, cpus: 1.1 }));
+  runPass(part, pass);
+  const units = [0.9, 0.95, 0.5, 0.9, 0.2].map((cpus, i) => queueUp(part, specOf({ ref: `run-10000${i}`, cpus })));
+  runPass(part, pass);
+  // Two machines with three tasks of 1.1 each have 0.7 left: one place of 0.5, and 0.2 beside it or elsewhere.
+  assert.deepEqual(
+    units.map((unit) => unit.placed.size),
+    [0, 0, 1, 0, 1],
+  );
+  const hopeless = new Hopeless();
+  hopeless.add(specOf({ cpus: 2, ram: 8 }));
+  assert.equal(hopeless.has(specOf({ cpus: 2, ram: 9 })), true);
+  assert.equal(hopeless.has(specOf({ cpus: 1.9, ram: 9 })), false);
+  assert.equal(hopeless.has(specOf({ cpus: 2, ram: 9, spot: true })), false, "cheap machines were not tried");
+  assert.equal(hopeless.has(specOf({ cpus: 2, ram: 9, oneZone: true })), false);
+});
