Return machines only while nobody else can lead the part

Now machines are returned and strays looked for only while the last proof of state contact is younger than half the time a presence lasts. Ruled out: a shorter silence limit (it also keeps work alive in outages of the state service).

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -101,7 +101,7 @@
 
   /** Checked at the moment of each act, not before a wait for it. */
   private leads(part: Part): boolean {
-    return !this.leader.silent() && this.leader.parts.get(part.id) === part;
+    return this.leader.sure() && this.leader.parts.get(part.id) === part;
   }
 
   private async paid(): Promise<void> {
@@ -291,7 +291,7 @@
   }
 
   private async giveBack(): Promise<void> {
-    if (this.leader.silent()) return;
+    if (!this.leader.sure()) return;
     for (const part of [...this.leader.parts.values()]) {
       const leaving: Machine[] = [];
       const { needed } = this.plan(part);
@@ -360,7 +360,7 @@
 
   /** Looks for machines that stopped by themselves and for ones nobody expected. */
   private async reconcile(): Promise<void> {
-    if (!this.mirror.loaded || this.leader.silent() || this.leader.parts.size === 0) return;
+    if (!this.mirror.loaded || !this.leader.sure() || this.leader.parts.size === 0) return;
     const lag = Math.max(1, this.settings.platform.deployment.cloud.list_lag_s) * 1000;
     const now = this.scope.clock.now();
     let from: string | undefined;
@@ -396,7 +396,7 @@
         await this.mirror.fresh();
         const nobodys = strays.filter((host) => this.rentals.get(host) === undefined).slice(0, MAX_DELETE);
         await this.paid();
-        if (this.leader.silent()) return;
+        if (!this.leader.sure()) return;
         await this.cloud.remove(nobodys);
         this.stats.strays += nobodys.length;
         this.scope.log.info({ hosts: nobodys }, "unexpected machines returned");
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -91,6 +91,15 @@
     return this.mirror.ageMs() > this.settings.timing.silentAfterMs || this.mirror.provenAt < this.wokeAt;
   }
 
+  /**
+   * Nobody else can lead our parts yet: our presence was there at the last proof, and lasts
+   * longer than this. Later, machines that do not report may do so to another, who
+   * leads them; returning them as lost or idle would end all that runs on them.
+   */
+  sure(): boolean {
+    return !this.silent() && this.mirror.ageMs() < this.settings.timing.presenceMs / 2;
+  }
+
   /**
    * This process stood still: machines, boots and idle times are given that time
    * again, and run times that may have ended meanwhile teach nothing. Leases are not:
--- a/test/world/cloud-service.ts
+++ b/test/world/cloud-service.ts
@@ -16,6 +16,8 @@
   private readonly answers = new Map<string, string[]>();
   readonly machines = new Map<string, Rented>();
   outage = false;
+  readonly cuts = new Set<string>();
+  private held: { node: string; run: () => void }[] = [];
   /** The next so many rentals are executed this much later; no reply comes. */
   lateHires = { count: 0, ms: 0 };
   onBoot: (host: string, offer: Offer) => void = () => undefined;
@@ -28,6 +30,14 @@
     private readonly lagMs: number,
   ) {}
 
+  /** Requests of the node were held, and are executed now. */
+  endCut(node: string): void {
+    this.cuts.delete(node);
+    const due = this.held.filter((h) => h.node === node);
+    this.held = this.held.filter((h) => h.node !== node);
+    for (const { run } of due) run();
+  }
+
   private hire(name: string, offer: Offer, count: number): string[] | null {
     const before = this.answers.get(name);
     if (before !== undefined) return before;
@@ -58,10 +68,14 @@
     this.onGone(host);
   }
 
-  client(via: Via): CloudApi {
+  client(node: string, via: Via): CloudApi {
     const call = <T>(run: () => T): Promise<T> =>
       new Promise((resolve, reject) => {
         this.clock.after(50, () => {
+          if (this.cuts.has(node)) {
+            this.held.push({ node, run: () => void run() });
+            return this.clock.after(2000, () => via(() => reject(new NoReply("unanswered", "cut"))));
+          }
           if (this.outage) return this.clock.after(50, () => via(() => reject(new NoReply("refused", "trouble"))));
           const result = run();
           this.clock.after(50, () => via(() => resolve(result)));
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -204,6 +204,11 @@
         world.clock.after(forMs, () => world.state.endCut(node));
         return;
       }
+      if (from === "cloud") {
+        world.cloud.cuts.add(node);
+        world.clock.after(forMs, () => world.cloud.endCut(node));
+        return;
+      }
       if (from === "workers") {
         world.cut(node, "workers");
         world.clock.after(forMs, () => world.mend(node, "workers"));
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -164,7 +164,7 @@
       settings,
       {
         state: this.state.client(name, via),
-        cloud: this.cloud.client(via),
+        cloud: this.cloud.client(name, via),
         workers: {
           command: (addr, token, session, orders) => this.command(name, addr, (worker) => worker.command(token, session, orders), via),
         },
