--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -141,8 +141,12 @@
   private async comeHome(part: number): Promise<void> {
     if (this.returning.has(part)) return;
     this.returning.add(part);
-    const reached = await this.reaches(part);
-    this.returning.delete(part);
+    let reached = false;
+    try {
+      reached = await this.reaches(part);
+    } finally {
+      this.returning.delete(part);
+    }
     if (reached && this.informed() && this.able(this.settings.self) && !this.unfit()) this.claim(part, "home again");
   }
 
