--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -84,7 +84,7 @@
     }
     const part = this.choosePart();
     if (part === null) return this.unavailable("no part has a leader yet");
-    const records = this.recordsFor(spec, part, this.leader.parts.size > 0 && !this.leader.parts.has(part));
+    const records = this.recordsFor(spec, part);
     let outcome = "shed";
     const shedAfterMs = this.settings.timing.stateTimeoutMs;
     const answered = await this.within(
@@ -122,15 +122,14 @@
     return own.length > 0 ? least(led, machines) : led[this.turn++ % led.length]!;
   }
 
-  /** `moved`: home is full and gave it away; like every job that moved, it stays put. */
-  private recordsFor(spec: JobSpec, part: number, moved: boolean): Map<string, JobRecord | SliceRecord> {
+  private recordsFor(spec: JobSpec, part: number): Map<string, JobRecord | SliceRecord> {
     const size = sliceCapacity(this.settings.platform.deployment.state.value_kb);
     const records = new Map<string, JobRecord | SliceRecord>();
     // Tasks that must agree on zones stay with one leader; a gang is one slice.
     const together = spec.oneZone || spec.spread;
     const n = this.settings.nodes.length;
     const first = spec.kind === "gang" ? spec.tasks : Math.min(size, spec.tasks);
-    records.set(keys.job(spec.ref), { spec, part, hi: first, done: "", at: this.scope.clock.wall(), ...(moved ? { moved } : {}) });
+    records.set(keys.job(spec.ref), { spec, part, hi: first, done: "", at: this.scope.clock.wall() });
     for (let lo = first, i = 1; lo < spec.tasks; lo += size, i++) {
       records.set(keys.slice(spec.ref, lo), {
         ref: spec.ref,
