--- a/test/stall.test.ts
+++ b/test/stall.test.ts
@@ -8,7 +8,7 @@
 import { WatchfulClock } from "../src/platform/stall.js";
 import { newMachine } from "../src/workers/machine.js";
 import { VirtualClock } from "./world/virtual-clock.js";
-import { World } from "./world/world.js";
+import { plainPlan, World } from "./world/world.js";
 
 test("whoever asks the time first after a stall makes it known before going on", async () => {
   const world = new VirtualClock();
@@ -72,14 +72,7 @@
 });
 
 test("a leader that wakes is silent until it has read what happened meanwhile", async () => {
-  const world = new World({
-    seed: 1,
-    teams: [],
-    types: [],
-    capacity: new Map(),
-    controllers: 3,
-    state: { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 },
-  });
+  const world = new World(plainPlan());
   for (const name of world.nodes.keys()) world.startNode(name);
   await world.clock.run(5000);
   const { leader } = world.nodes.get("nest-0")!.controller!;
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -1,5 +1,5 @@
 import { keys, type JobKind, type JobSpec, type SliceRecord, type Urgency } from "../../src/ledger/records.js";
-import { World, type Plan } from "./world.js";
+import { plainPlan, World, type Plan } from "./world.js";
 
 /**
  * Scenario files: one sentence a line. `given` lines describe the place, `at N`
@@ -20,14 +20,7 @@
 }
 
 function parse(text: string): { plan: Plan; steps: Step[] } {
-  const plan: Plan = {
-    seed: 1,
-    teams: [],
-    types: [],
-    capacity: new Map(),
-    controllers: 3,
-    state: { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 },
-  };
+  const plan = plainPlan();
   const steps: Step[] = [];
   for (const raw of text.split("\n")) {
     const line = raw.replace(/#.*$/, "").trim();
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -34,6 +34,18 @@
   sockets?: number;
 }
 
+/** Three controllers with usual state limits, and nothing yet for them to do. */
+export function plainPlan(): Plan {
+  return {
+    seed: 1,
+    teams: [],
+    types: [],
+    capacity: new Map(),
+    controllers: 3,
+    state: { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 },
+  };
+}
+
 interface Node {
   name: string;
   controller: Controller | null;
