Pipelines: jobs wait for the jobs they need, and live with the limits that come later

A job may name jobs that have to be done first. Urgency is inherited backwards. Sizes and rates keep within both the present and the later limits of the state service from the beginning; a change that it refuses for its size no longer keeps others waiting.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -12,7 +12,9 @@
 import type { CloudApi } from "./fleet/cloud-client.js";
 import { Fleet } from "./fleet/fleet.js";
 import { Jobs } from "./intake/jobs.js";
+import { Submissions } from "./intake/submissions.js";
 import { Relay } from "./intake/relay.js";
+import { Needs } from "./pipelines/needs.js";
 import type { PeerApi } from "./peers/links.js";
 import { Rate } from "./platform/rate.js";
 import type { Scope } from "./platform/scope.js";
@@ -31,6 +33,7 @@
 export class Controller {
   readonly mirror: Mirror;
   readonly rentals: Rentals;
+  readonly needs: Needs;
   readonly committer: Committer;
   readonly ownership: Ownership;
   readonly fitness: Fitness;
@@ -52,22 +55,24 @@
     life = randomBytes(6).toString("hex"),
   ) {
     const { clock, log } = scope;
-    const { state, cloud } = settings.platform.deployment;
+    const { cloud } = settings.platform.deployment;
+    const { state } = settings;
     const share = 1 / settings.nodes.length;
     const requests = new Rate(clock, state.rps * share);
-    const writes = new Rate(clock, state.write_rps * share, Math.max(state.txn_ops, state.write_rps * share));
+    const writes = new Rate(clock, state.writeRps * share, Math.max(state.txnOps, state.writeRps * share));
     const { timing } = settings;
     // What a watch proves is as old as its beginning: two in a row must stay well
     // below the age at which this node counts itself cut off.
     this.mirror = new Mirror(around.state, clock, requests, { readGapMs: 3000 / (state.rps * share), blockMs: timing.contactMs / 4 });
     this.rentals = new Rentals(this.mirror);
+    this.needs = new Needs(this.mirror);
     this.committer = new Committer(
       around.state,
       this.mirror,
       clock,
       requests,
       writes,
-      { txnOps: state.txn_ops, retryMs: 5000 / state.write_rps },
+      { txnOps: state.txnOps, retryMs: 5000 / state.writeRps },
       log,
     );
     this.ownership = new Ownership(
@@ -82,8 +87,18 @@
       (part) => this.fitness.reaches(part),
     );
     this.allotments = new Allotments(settings, this.mirror, this.committer, scope);
-    this.guarantees = new Guarantees(settings, this.mirror, scope);
-    this.leader = new Leader(settings, life, this.mirror, this.rentals, this.committer, this.allotments, this.guarantees, scope);
+    this.guarantees = new Guarantees(settings, this.mirror, this.needs, scope);
+    this.leader = new Leader(
+      settings,
+      life,
+      this.mirror,
+      this.rentals,
+      this.needs,
+      this.committer,
+      this.allotments,
+      this.guarantees,
+      scope,
+    );
     this.fitness = new Fitness(settings, this.leader.parts, this.rentals, around.workers, () => this.hasState(), scope);
     this.dispatch = new Dispatch(this.leader, around.workers, scope);
     this.fleet = new Fleet(
@@ -98,8 +113,20 @@
       around.peers,
       scope,
     );
-    this.exchange = new Exchange(settings, this.leader, this.ownership, this.allotments, this.mirror, this.committer, around.peers, scope);
-    this.jobs = new Jobs(settings, this.leader, this.ownership, this.mirror, this.rentals, this.committer, scope);
+    this.exchange = new Exchange(
+      settings,
+      this.leader,
+      this.ownership,
+      this.allotments,
+      this.mirror,
+      this.needs,
+      this.committer,
+      around.peers,
+      scope,
+    );
+    const { leader, mirror, rentals, needs, committer } = this;
+    const submissions = new Submissions(settings, leader, this.ownership, mirror, rentals, needs, committer, scope);
+    this.jobs = new Jobs(settings, leader, mirror, needs, submissions, committer, scope);
     this.relay = new Relay(settings, this.jobs, around.peers, () => this.peersHavingState(), scope);
   }
 
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -1,12 +1,13 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, type JobRecord, type SliceRecord } from "../ledger/records.js";
+import { keys, partOf, settled, type JobRecord, type SliceRecord } from "../ledger/records.js";
 import { Bits } from "../platform/bits.js";
 import type { Scope } from "../platform/scope.js";
 import type { Allotments } from "../parts/allotments.js";
 import type { Leader } from "../parts/leader.js";
 import type { Ownership } from "../parts/ownership.js";
 import { tasksWithin, usageOf, type Part, type Usage } from "../parts/part.js";
+import type { Needs } from "../pipelines/needs.js";
 import type { PeerApi } from "../peers/links.js";
 import type { Answer, Query, Volunteer, Want } from "../peers/messages.js";
 import { estimateWaits, utilization, type EstimateContext } from "../queue/estimate.js";
@@ -47,6 +48,7 @@
     private readonly ownership: Ownership,
     private readonly allotments: Allotments,
     private readonly mirror: Mirror,
+    private readonly needs: Needs,
     private readonly committer: Committer,
     private readonly peers: PeerApi,
     private readonly scope: Scope,
@@ -217,7 +219,8 @@
       this.peers.send(query.from, { Answer: { id: query.id, part: query.part, waitMs: Infinity, runMs: 0, utilization: 1, atOnce: 0 } });
       return;
     }
-    const probe = newUnit(keys.job(query.job), job.spec, 0, job.hi, new Bits(job.hi), job.at, this.scope.clock.now());
+    const probe = newUnit(keys.job(query.job), job.spec, 0, job.hi, new Bits(job.hi), this.needs.sinceWall(job), this.scope.clock.now());
+    probe.urgency = this.needs.urgency(query.job);
     const atOnce = new Map<string, number>();
     const waits = estimateWaits(part, this.estimateContext(), [probe], (unit) => unit === probe, atOnce);
     const waitMs = waits.get(probe.key) ?? Infinity;
@@ -279,14 +282,14 @@
     unit.leaving = true;
     const draft = () => {
       const entry = this.mirror.get<JobRecord>(unit.key);
-      if (entry === undefined || entry.v.part !== part.id || entry.v.end !== undefined) return null;
+      if (entry === undefined || partOf(entry.v) !== part.id || entry.v.end !== undefined) return null;
       if (this.mirror.stamp(keys.owner(part.id)) !== part.term) return null;
       return {
         conditions: [
           { k: unit.key, stamp: entry.stamp },
           { k: keys.owner(part.id), stamp: part.term },
         ],
-        apply: [{ write: unit.key, v: { ...entry.v, part: to, moved: true } }],
+        apply: [{ write: unit.key, v: { ...settled(entry.v), part: to, moved: true } }],
       };
     };
     void this.committer.commit("move", draft).then((outcome) => {
@@ -311,7 +314,7 @@
     const key = keys.slice(ref, lo);
     const draft = () => {
       const entry = this.mirror.get<JobRecord>(unit.key);
-      if (entry === undefined || entry.v.part !== part.id || entry.v.end !== undefined || entry.v.hi !== whole) return null;
+      if (entry === undefined || partOf(entry.v) !== part.id || entry.v.end !== undefined || entry.v.hi !== whole) return null;
       if (this.mirror.stamp(keys.owner(part.id)) !== part.term || this.mirror.get(key) !== undefined) return null;
       const slice: SliceRecord = { ref, part: to, lo, hi: whole, done: "", moved: true };
       return {
@@ -321,7 +324,7 @@
           { k: key, stamp: 0 },
         ],
         apply: [
-          { write: unit.key, v: { ...entry.v, hi: lo } },
+          { write: unit.key, v: { ...settled(entry.v), hi: lo } },
           { write: key, v: slice },
         ],
       };
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -178,7 +178,7 @@
 
   private async begin(part: Part, offer: Offer, count: number): Promise<void> {
     // All that a rental brings is recorded in one value.
-    const most = Math.min(MOST_OF_AN_OFFER, rentalCapacity(this.settings.platform.deployment.state.value_kb));
+    const most = Math.min(MOST_OF_AN_OFFER, rentalCapacity(this.settings.state.valueKb));
     const name = `${part.id}.${part.term}.${++this.hires}`;
     const value: RentalRecord = { part: part.id, ...offer, count: Math.min(count, most), at: this.scope.clock.wall() };
     const key = keys.rental(name);
--- a/src/intake/codec.ts
+++ b/src/intake/codec.ts
@@ -7,6 +7,9 @@
 const name = z.string().min(1).max(MAX_NAME);
 const KINDS: Record<string, JobKind> = { sweep: "array", gang: "gang", daemon: "service" };
 
+/** No more than this many fit into a request anyway. */
+const MAX_NEEDS = 5000;
+
 const REF = /^run-\d{6,20}$/;
 
 const wireJob = z.object({
@@ -30,6 +33,7 @@
   snapshotS: amount,
   flushS: amount,
   closeS: amount.nullish(),
+  waitsOn: z.array(z.string().regex(REF, "must look like run-000412")).max(MAX_NEEDS).nullish(),
 });
 
 export function isRef(text: string): boolean {
@@ -44,6 +48,7 @@
     return { fault: `${issue.path.join(".") || "body"}: ${issue.message}` };
   }
   const wire = parsed.data;
+  const needs = [...new Set(wire.waitsOn ?? [])];
   return {
     spec: {
       ref: wire.ref,
@@ -66,6 +71,7 @@
       checkpointS: wire.snapshotS,
       flushS: wire.flushS,
       deadlineS: wire.closeS ?? null,
+      ...(needs.length > 0 ? { needs } : {}),
     },
   };
 }
--- a/src/ledger/committer.ts
+++ b/src/ledger/committer.ts
@@ -4,7 +4,7 @@
 import type { Log } from "../platform/log.js";
 import type { Rate } from "../platform/rate.js";
 import type { Mirror } from "./mirror.js";
-import { OverRate, type Condition, type Op, type StateApi } from "./state-client.js";
+import { OverRate, TooLarge, type Condition, type Op, type StateApi } from "./state-client.js";
 
 export interface Draft {
   conditions: Condition[];
@@ -13,7 +13,8 @@
 
 /**
  * What became of an intent. `settled`: its draft had nothing left to write;
- * the caller reads the mirror to see how things stand. `shed`: never sent.
+ * the caller reads the mirror to see how things stand. `shed`: never sent, or
+ * refused for its size.
  */
 export type Outcome = "done" | "settled" | "shed";
 
@@ -133,6 +134,7 @@
         return sleep(this.clock, this.limits.retryMs);
       }
       if (!(error instanceof NoReply)) throw error;
+      if (error instanceof TooLarge) return this.takeApart(batch.intents, error);
       // Not executed, so not counted either: without this an outage ends with nothing left to write with.
       if (error.kind === "refused") this.writes.give(batch.apply.length);
       if (error.kind === "unanswered") {
@@ -144,6 +146,20 @@
     }
   }
 
+  /**
+   * The service will not take this, now or later. Sent again as it is, it would keep
+   * everything behind it waiting for ever: so each goes by itself, and one that is
+   * refused alone is given up.
+   */
+  private takeApart(intents: Intent[], error: TooLarge): void {
+    for (const intent of intents) intent.alone = true;
+    const [only] = intents;
+    if (intents.length > 1 || only === undefined) return;
+    this.log.error({ intent: only.label, err: error.message }, "the state service does not take this change");
+    this.queue = this.queue.filter((intent) => intent !== only);
+    only.resolve("shed");
+  }
+
   private async readBack(): Promise<void> {
     try {
       await this.mirror.fresh();
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -24,25 +24,57 @@
   checkpointS: number;
   flushS: number;
   deadlineS: number | null;
+  /** Jobs that have to be done before any task of this one starts. */
+  needs?: string[];
+}
+
+/** The part of a job that was submitted while jobs it needs were not done: none, as far as earlier versions can tell. */
+const NO_PART = -1;
+
+/**
+ * Where a record's tasks belong. A job that has to wait is recorded as belonging to
+ * no part, with its part beside it: a version that knows nothing of needs would start
+ * it at once. Whether it still waits follows from the records of the jobs it needs.
+ */
+interface Located {
+  part: number;
+  home?: number;
+}
+
+export function partOf(record: Located): number {
+  return record.part === NO_PART && record.home !== undefined ? record.home : record.part;
+}
+
+/** Recorded for the part `home`, but out of sight of versions that would not wait. */
+export function waitingFor(home: number): Located {
+  return { part: NO_PART, home };
+}
+
+/** The record as it is written once nothing is waited for any more: plainly its part's. */
+export function settled<T extends Located>(record: T): T {
+  const { home: _home, ...rest } = record;
+  return { ...rest, part: partOf(record) } as T;
 }
 
 /**
  * A job, and at the same time its first slice: tasks 0 to `hi`. Further slices
  * have keys of their own. `done` is a bit map of the slice.
  */
-export interface JobRecord {
+export interface JobRecord extends Located {
   spec: JobSpec;
-  part: number;
   hi: number;
   done: string;
   at: number;
+  /** Jobs it needs beyond those that its own record has room for stand in lists of this name. */
+  needLists?: { name: string; count: number };
   end?: "done" | "withdrawn";
+  /** When it was done, by the time of day; times of jobs that need it count from then. */
+  endedAt?: number;
   moved?: boolean;
 }
 
-export interface SliceRecord {
+export interface SliceRecord extends Located {
   ref: string;
-  part: number;
   lo: number;
   hi: number;
   done: string;
@@ -82,16 +114,24 @@
   gpus: (number | null)[];
 }
 
+/** Further jobs that a job needs; means nothing before the job's own record is there. */
+export interface NeedListRecord {
+  ref: string;
+  needs: string[];
+}
+
 export const keys = {
   root: "t/",
   jobs: "t/j/",
   slices: "t/s/",
+  needLists: "t/n/",
   rentals: "t/m/",
   owners: "t/o/",
   presence: "t/l/",
   allotments: "t/q/",
   job: (ref: string) => `t/j/${ref}`,
   slice: (ref: string, lo: number) => `t/s/${ref}/${String(lo).padStart(6, "0")}`,
+  needList: (ref: string, name: string, i: number) => `t/n/${ref}/${name}/${i}`,
   rental: (name: string) => `t/m/${name}`,
   owner: (part: number) => `t/o/${part}`,
   alive: (node: string) => `t/l/${node}`,
@@ -99,9 +139,22 @@
   allotment: (team: string) => `t/q/${encodeURIComponent(team)}`,
 };
 
+/** Of a record's room, what the bit map of a slice may take, and what is added in the course of a job. */
+const BIT_MAP = 1 / 3;
+const LATER_BYTES = 128;
+
 /** How many tasks one slice's bit map may cover, so that a record fits its limits. */
 export function sliceCapacity(valueKb: number): number {
-  return Math.floor((Math.min(valueKb, 32) * 1024) / 3) * 6;
+  return Math.floor(Math.min(valueKb, 32) * 1024 * BIT_MAP) * 6;
+}
+
+export function recordBytes(value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value));
+}
+
+/** Bytes that a job's description may take of its record. */
+export function specRoom(valueKb: number): number {
+  return Math.floor(Math.min(valueKb, 32) * 1024 * (1 - BIT_MAP)) - LATER_BYTES;
 }
 
 /** Of a record's room, what one machine of a rental takes at most. */
--- a/src/ledger/state-client.ts
+++ b/src/ledger/state-client.ts
@@ -32,6 +32,13 @@
   }
 }
 
+/** 400: too large a value, or too many changes, for the limits as they are. */
+export class TooLarge extends NoReply {
+  constructor(message: string) {
+    super("refused", message);
+  }
+}
+
 export class LostPermit extends Error {}
 
 export class HttpState implements StateApi {
@@ -56,6 +63,7 @@
       return { ok: false, failed: (reply.body["failed"] as string[] | undefined) ?? [], ledger: Number(reply.body["ledger"]) };
     }
     if (reply.status === 400 && String(reply.body["error"]).includes("lease")) throw new LostPermit("no such lease");
+    if (reply.status === 400) throw new TooLarge(`txn answered 400: ${String(reply.body["error"])}`);
     throw new NoReply(reply.status >= 500 ? "unanswered" : "refused", `txn answered ${reply.status}`);
   }
 
--- a/src/parts/guarantees.ts
+++ b/src/parts/guarantees.ts
@@ -1,5 +1,6 @@
 import type { Mirror } from "../ledger/mirror.js";
 import { keys, type JobRecord, type JobSpec } from "../ledger/records.js";
+import type { Needs } from "../pipelines/needs.js";
 import type { Scope } from "../platform/scope.js";
 import type { Settings } from "../settings/derived.js";
 import type { TeamSettings } from "../settings/platform-file.js";
@@ -62,6 +63,7 @@
   constructor(
     private readonly settings: Settings,
     private readonly mirror: Mirror,
+    private readonly needs: Needs,
     private readonly scope: Scope,
   ) {}
 
@@ -79,7 +81,10 @@
   }
 
   private review(): void {
-    const jobs = [...this.mirror.rows<JobRecord>(keys.jobs).values()].map((entry) => entry.v);
+    // What waits for other jobs holds no part of its team's guarantee.
+    const jobs = [...this.mirror.rows<JobRecord>(keys.jobs).values()]
+      .map((entry) => entry.v)
+      .filter(({ spec }) => !this.needs.waits(spec.ref));
     this.granted = grant(jobs, this.teams, this.granted);
   }
 
--- a/src/parts/holdings.ts
+++ b/src/parts/holdings.ts
@@ -1,8 +1,9 @@
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, type JobRecord, type OwnerRecord, type SliceRecord } from "../ledger/records.js";
+import { keys, partOf, type JobRecord, type OwnerRecord, type SliceRecord } from "../ledger/records.js";
 import type { Rentals } from "../ledger/rentals.js";
 import { Bits } from "../platform/bits.js";
 import { sleep } from "../platform/clock.js";
+import type { Needs } from "../pipelines/needs.js";
 import { newUnit, shorten, type Unit } from "../queue/unit.js";
 import { newMachine, type Machine } from "../workers/machine.js";
 import { acquit, dropAll, newFindings } from "../workers/reports.js";
@@ -15,12 +16,15 @@
 /** What the records say this node holds: parts won and lost, their machines, their work. */
 export class Holdings {
   private readonly taking = new Set<string>();
+  /** Jobs of several slices whose slices have been looked for. */
+  private readonly sliced = new Set<string>();
 
   constructor(
     private readonly led: Led,
     private readonly life: string,
     private readonly mirror: Mirror,
     private readonly rentals: Rentals,
+    private readonly needs: Needs,
     private readonly progress: Progress,
     private readonly consequences: Consequences,
     private readonly watch: Watch,
@@ -29,6 +33,14 @@
   start(): void {
     this.led.scope.listen(this.mirror.changes$, (key) => this.onChange(key));
     this.led.scope.listen(this.rentals.changes$, (host) => this.reviewMachine(host));
+    this.led.scope.listen(this.needs.ready$, (ref) => {
+      this.reviewWork(keys.job(ref));
+      this.reviewSlices(ref);
+    });
+    this.led.scope.listen(this.needs.lifted$, (ref) => {
+      for (const part of this.led.parts.values()) for (const unit of part.byRef.get(ref) ?? []) unit.urgency = this.needs.urgency(ref);
+      this.led.wake();
+    });
   }
 
   private onChange(key: string): void {
@@ -139,10 +151,18 @@
       return;
     }
     if (job.end !== undefined) return;
+    // The jobs that it needs come first; when the last is done we are told.
+    if (this.needs.waits(ref) || this.needs.fate(ref) !== undefined) return;
+    // Slices of a large job may be recorded before the job itself.
+    if (isJob && job.hi < job.spec.tasks && !this.sliced.has(ref)) {
+      this.sliced.add(ref);
+      this.reviewSlices(ref);
+    }
+    const at = partOf(entry.v);
     const lo = isJob ? 0 : (entry.v as SliceRecord).lo;
     for (const part of this.led.parts.values()) {
       const unit = part.units.get(key);
-      if (entry.v.part !== part.id) {
+      if (at !== part.id) {
         if (unit !== undefined && unit.placed.size === 0) removeUnit(part, unit);
         continue;
       }
@@ -152,7 +172,8 @@
       }
       if (unit === undefined) {
         const bits = Bits.decode(entry.v.hi - lo, entry.v.done);
-        const fresh = newUnit(key, job.spec, lo, entry.v.hi, bits, job.at, this.led.now);
+        const fresh = newUnit(key, job.spec, lo, entry.v.hi, bits, this.needs.sinceWall(job), this.led.now);
+        fresh.urgency = this.needs.urgency(ref);
         fresh.moved = entry.v.moved === true;
         addUnit(part, fresh);
         this.led.wake();
@@ -160,12 +181,16 @@
     }
     // A slice elsewhere completed: the first slice's leader may now call the job done.
     if (!isJob) {
-      const part = this.led.parts.get(job.part);
+      const part = this.led.parts.get(partOf(job));
       const first = part?.units.get(keys.job(ref));
       if (part !== undefined && first !== undefined && first.done.full) this.progress.record(part, first);
     }
   }
 
+  private reviewSlices(ref: string): void {
+    for (const key of this.mirror.rows(keys.slices).keys()) if (key.startsWith(`${keys.slices}${ref}/`)) this.reviewWork(key);
+  }
+
   private endUnit(part: Part, unit: Unit): void {
     unit.ended = true;
     acquit(part, unit);
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -3,6 +3,7 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
 import type { Rentals } from "../ledger/rentals.js";
+import type { Needs } from "../pipelines/needs.js";
 import type { Scope } from "../platform/scope.js";
 import { RunHistory } from "../queue/history.js";
 import type { LocalOrder } from "../queue/order.js";
@@ -46,6 +47,7 @@
     life: string,
     private readonly mirror: Mirror,
     rentals: Rentals,
+    needs: Needs,
     committer: Committer,
     private readonly allotments: Allotments,
     readonly guarantees: Guarantees,
@@ -58,7 +60,7 @@
     this.placing = new Placing(this, allotments, guarantees);
     const cameUp = new CameUp(this, mirror, rentals, committer);
     this.reports = new ReportDesk(this, mirror, rentals, progress, cameUp, consequences, this.watch);
-    this.holdings = new Holdings(this, life, mirror, rentals, progress, consequences, this.watch);
+    this.holdings = new Holdings(this, life, mirror, rentals, needs, progress, consequences, this.watch);
   }
 
   start(): void {
--- a/src/parts/progress.ts
+++ b/src/parts/progress.ts
@@ -1,6 +1,6 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, type JobRecord, type SliceRecord } from "../ledger/records.js";
+import { keys, partOf, settled, type JobRecord, type SliceRecord } from "../ledger/records.js";
 import { Bits } from "../platform/bits.js";
 import type { Unit } from "../queue/unit.js";
 import { splitPiece } from "../workers/reports.js";
@@ -41,7 +41,7 @@
     const draft = () => {
       const entry = this.mirror.get<JobRecord | SliceRecord>(unit.key);
       const job = this.mirror.get<JobRecord>(keys.job(ref));
-      if (entry === undefined || job === undefined || job.v.end !== undefined || entry.v.part !== part.id) return null;
+      if (entry === undefined || job === undefined || job.v.end !== undefined || partOf(entry.v) !== part.id) return null;
       if (this.mirror.stamp(keys.owner(part.id)) !== part.term) return null;
       const bits = Bits.decode(unit.hi - unit.lo, entry.v.done);
       const before = bits.count;
@@ -49,7 +49,8 @@
       const complete = isJob && bits.full && this.slicesFull(ref);
       if (bits.count === before && !complete) return null;
       sent = unit.done.count;
-      const value = { ...entry.v, done: bits.encode(), ...(complete ? { end: "done" as const } : {}) };
+      const value = { ...settled(entry.v), done: bits.encode() };
+      if (complete) Object.assign(value, { end: "done", endedAt: this.led.scope.clock.wall() } satisfies Partial<JobRecord>);
       return {
         conditions: [
           { k: unit.key, stamp: entry.stamp },
--- a/src/queue/order.ts
+++ b/src/queue/order.ts
@@ -44,7 +44,7 @@
  */
 export function localOrder(context: OrderContext): LocalOrder {
   return {
-    rank: (unit) => (context.mode === "arrival" ? 0 : rank(unit.spec.urgency)),
+    rank: (unit) => (context.mode === "arrival" ? 0 : rank(unit.urgency)),
     arrival: (unit) => {
       if (context.mode !== "arrival" && context.guaranteed(unit)) return unit.submittedWall - AGES_MS;
       const within = context.mode === "aims" ? context.finishS(unit.spec.klass) : Infinity;
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -48,7 +48,7 @@
         .filter((p) => p.stop === null && p.unit.spec.kind !== "gang")
         .sort(
           (a, b) =>
-            rank(b.unit.spec.urgency) - rank(a.unit.spec.urgency) ||
+            rank(b.unit.urgency) - rank(a.unit.urgency) ||
             freshly(a, this.now) - freshly(b, this.now) ||
             b.unit.submittedWall - a.unit.submittedWall ||
             lostS(a, this.now) - lostS(b, this.now),
@@ -61,7 +61,7 @@
 
 /** Of strictly lower priority, and no gang's, since all of that would go. */
 function stoppable(placement: Placement, unit: Unit): boolean {
-  return placement.unit.spec.kind !== "gang" && rank(placement.unit.spec.urgency) > rank(unit.spec.urgency);
+  return placement.unit.spec.kind !== "gang" && rank(placement.unit.urgency) > rank(unit.urgency);
 }
 
 /** Another team runs it beyond its own guarantee, so it may be stopped to give a team its guarantee. */
@@ -162,7 +162,7 @@
     const wanted = Math.min(unit.waiting.length, room);
     // Room is only taken during a pass: what did not fit one job does not fit its like.
     const claims = context.guaranteed(unit) && now - unit.arrivedAt >= context.claimAfterMs;
-    const shape = `${spec.urgency}|${claims ? spec.team : ""}|${unit.shape}`;
+    const shape = `${unit.urgency}|${claims ? spec.team : ""}|${unit.shape}`;
     const mayStop = (p: Placement): boolean => stoppable(p, unit) || (claims && beyond(p, unit, excess));
     const least = isGang ? wanted : 1;
     if (least >= (hopeless.get(shape) ?? Infinity)) continue;
--- a/src/queue/soft-rooms.ts
+++ b/src/queue/soft-rooms.ts
@@ -40,7 +40,7 @@
   ) {
     let lowest = -1;
     for (const unit of part.units.values()) {
-      if (unit.placed.size > 0 && unit.spec.kind !== "gang") lowest = Math.max(lowest, rank(unit.spec.urgency));
+      if (unit.placed.size > 0 && unit.spec.kind !== "gang") lowest = Math.max(lowest, rank(unit.urgency));
     }
     this.lowest = lowest;
   }
@@ -54,8 +54,8 @@
         if (!room.machine.fenced || !room.machine.up) continue;
         const free = { ...room.free };
         for (const placement of room.machine.placements.values()) {
-          const { spec } = placement.unit;
-          const lower = spec.kind !== "gang" && rank(spec.urgency) > level;
+          const { spec, urgency } = placement.unit;
+          const lower = spec.kind !== "gang" && rank(urgency) > level;
           if (lower || (claims && beyond(placement, unit, this.context.excess))) shift(free, spec, 1);
         }
         list.push({ room, free });
@@ -68,7 +68,7 @@
   /** If so, what it takes is not there for the next one. */
   makeRoom(unit: Unit, tasks: number): boolean {
     const { spec } = unit;
-    const level = rank(spec.urgency);
+    const level = rank(unit.urgency);
     const claims = this.context.guaranteed(unit);
     if (spec.spread || (!claims && level >= this.lowest)) return false;
     const list = this.for(unit, level, claims);
--- a/src/queue/unit.ts
+++ b/src/queue/unit.ts
@@ -1,5 +1,5 @@
 import { Bits } from "../platform/bits.js";
-import type { JobSpec } from "../ledger/records.js";
+import type { JobSpec, Urgency } from "../ledger/records.js";
 import type { TaskState } from "../workers/machine.js";
 
 /** One attempt at one task on one machine, from its start order until proven gone. */
@@ -28,6 +28,8 @@
 export interface Unit {
   key: string;
   spec: JobSpec;
+  /** Its own, or that of a job that needs it if that is higher. */
+  urgency: Urgency;
   lo: number;
   hi: number;
   done: Bits;
@@ -68,6 +70,7 @@
   return {
     key,
     spec,
+    urgency: spec.urgency,
     lo,
     hi,
     done,
--- a/src/settings/derived.ts
+++ b/src/settings/derived.ts
@@ -29,8 +29,17 @@
   passGapMs: number;
 }
 
+/** What the state service takes, now and later. */
+export interface StateLimits {
+  rps: number;
+  writeRps: number;
+  valueKb: number;
+  txnOps: number;
+}
+
 export interface Settings {
   platform: PlatformSettings;
+  state: StateLimits;
   operators: OperatorSettings;
   timing: Timing;
   /** More machines than this a part does not take: each holds a socket of its leader. */
@@ -40,6 +49,15 @@
   self: string;
 }
 
+/**
+ * The limits change without notice, and what was written before has to be written again
+ * after: so from the beginning nothing is larger or more frequent than both allow.
+ */
+function stateLimits({ next, ...now }: PlatformSettings["deployment"]["state"]): StateLimits {
+  const least = (key: keyof typeof now): number => Math.min(now[key], next[key] ?? Infinity);
+  return { rps: least("rps"), writeRps: least("write_rps"), valueKb: least("value_kb"), txnOps: least("txn_ops") };
+}
+
 export function derive(platform: PlatformSettings, operators: OperatorSettings): Settings {
   const { workers } = platform.deployment;
   const leaseMs = workers.lease_s * 1000;
@@ -52,6 +70,7 @@
   return {
     platform,
     operators,
+    state: stateLimits(platform.deployment.state),
     self: platform.host_name,
     mostMachines: Math.max(1, Math.floor(platform.deployment.quota.sockets * MACHINES_PER_SOCKET)),
     nodes,
--- a/src/settings/platform-file.ts
+++ b/src/settings/platform-file.ts
@@ -5,6 +5,8 @@
 const positive = z.number().finite().positive();
 const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "an address like 10.0.0.1:8080");
 
+const txnOps = z.number().int().min(4);
+
 /** The file the platform hands over. Fields it does not name are ignored. */
 const schema = z.object({
   host_name: z.string().min(1),
@@ -49,7 +51,9 @@
       rps: positive,
       write_rps: positive,
       value_kb: positive,
-      txn_ops: z.number().int().min(4),
+      txn_ops: txnOps,
+      /** What the limits will be from some later moment on. */
+      next: z.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: txnOps }).partial().default({}),
     }),
     cloud: z.object({ rps: positive, list_lag_s: amount }),
     quota: z.object({ core_share: positive, mem_mb: positive, sockets: z.number().int().min(16) }),
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -43,6 +43,16 @@
   invented: [told(1, "queued"), on(2, 0, "x")],
   not_done: [submitted(), on(2, 0, "x"), off(3, 0, "x"), told(4, "done")],
   went_back: [...good, told(11, "running")],
+  too_early: [submitted({ needs: ["run-000002"] }), told(1, "queued"), on(2, 0, "x")],
+  orphaned: [
+    submitted(),
+    { at: 0, kind: "submitted", spec: spec({ ref: "run-000002", needs: ["run-000001"] }) },
+    asked,
+    on(2, 0, "x"),
+    off(3, 0, "x", "stopped"),
+    told(4, "withdrawn"),
+    { at: 50_000, kind: "told", ref: "run-000002", what: "queued" },
+  ],
   nothing_ran: [submitted(), told(1, "queued")],
 };
 
@@ -64,6 +74,13 @@
     assert.match(brokenRules([submitted(over), ...history], limits)[0] ?? "none", /^wrong_place/);
   }
 });
+test("a job is called cancelled with one that it needs, through others too", () => {
+  const chain = ["run-000002", "run-000003"].map((ref, i) => submitted({ ref, needs: [`run-00000${i + 1}`] }));
+  const said: Happening = { at: 5, kind: "told", ref: "run-000003", what: "withdrawn" };
+  const ran = [on(2, 0, "x"), off(3, 0, "x", "stopped")];
+  assert.deepEqual(brokenRules([submitted(), ...chain, asked, ...ran, told(4, "withdrawn"), said], limits), []);
+  assert.match(brokenRules([submitted(), ...chain, ...ran, said], limits)[0] ?? "none", /^went_back/);
+});
 test("a start after the time for a cancellation is over is seen", () => {
   assert.match(brokenRules([submitted(), asked, told(3, "withdrawn"), on(50_000, 0, "x")], limits)[0] ?? "none", /^ran_cancelled/);
 });
--- a/test/world/checker.ts
+++ b/test/world/checker.ts
@@ -24,6 +24,12 @@
   const withdrawnAt = new Map<string, number>();
   const askedCancel = new Set<string>();
   const on = new Map<string, Map<string, { zone: string }>>();
+  /** All jobs that the job needs, directly or through others. */
+  const allNeeds = (ref: string): Set<string> => {
+    const found = new Set(specs.get(ref)?.needs);
+    for (const need of found) for (const further of specs.get(need)?.needs ?? []) found.add(further);
+    return found;
+  };
   const doneTasks = new Map<string, Set<string>>();
   let started = 0;
   const say = (rule: string, at: number, detail: string): void => {
@@ -52,7 +58,7 @@
         break;
       case "told": {
         const { ref, what } = event;
-        const before = final.get(ref);
+        const last = final.get(ref);
         if (what === "unknown") {
           if (accepted.has(ref)) say("forgotten", event.at, `${ref} got 404`);
           break;
@@ -64,8 +70,11 @@
         if (!specs.has(ref)) say("invented", event.at, ref);
         accepted.add(ref);
         if (what === "done" && (doneTasks.get(ref)?.size ?? 0) < (specs.get(ref)?.tasks ?? 0)) say("not_done", event.at, ref);
-        if (before !== undefined && what !== before) say("went_back", event.at, `${ref} from ${before} to ${what}`);
-        if (what === "withdrawn" && !askedCancel.has(ref)) say("went_back", event.at, `${ref} was not cancelled by its user`);
+        if (last !== undefined && what !== last) say("went_back", event.at, `${ref} from ${last} to ${what}`);
+        const gone = [...allNeeds(ref)].map((need) => withdrawnAt.get(need) ?? Infinity);
+        if (what !== "done" && what !== "withdrawn" && gone.some((at) => event.at - at > limits.cancelMs)) say("orphaned", event.at, ref);
+        if (what === "withdrawn" && ![ref, ...allNeeds(ref)].some((one) => askedCancel.has(one)))
+          say("went_back", event.at, `${ref} was not cancelled by its user`);
         if (what === "done" || what === "withdrawn") {
           final.set(ref, what);
           if (what === "withdrawn" && !withdrawnAt.has(ref)) withdrawnAt.set(ref, event.at);
@@ -92,6 +101,10 @@
         }
         hosts.set(event.host, { zone: event.zone });
         on.set(event.piece, hosts);
+        for (const need of spec?.needs ?? []) {
+          if ((doneTasks.get(need)?.size ?? 0) < (specs.get(need)?.tasks ?? 1))
+            say("too_early", event.at, `${event.piece} before ${need} is done`);
+        }
         const since = withdrawnAt.get(ref);
         if (since !== undefined && event.at - since > limits.cancelMs) say("ran_cancelled", event.at, `${event.piece} started`);
         if (spec !== undefined) {
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -29,7 +29,10 @@
     if (words[0] === "seed") plan.seed = Number(words[1]);
     else if (words[0] === "given" && words[1] === "controllers") plan.controllers = Number(words[2]);
     else if (words[0] === "given" && words[1] === "sockets") plan.sockets = Number(words[2]);
-    else if (words[0] === "given" && words[1] === "state") {
+    else if (words[0] === "given" && words[1] === "later" && words[2] === "state") {
+      const o = options(words.slice(3));
+      plan.next = { write_rps: Number(o.get("writes")), value_kb: Number(o.get("value-kb")), txn_ops: Number(o.get("changes")) };
+    } else if (words[0] === "given" && words[1] === "state") {
       const o = options(words.slice(2));
       plan.state.writeRps = Number(o.get("writes") ?? plan.state.writeRps);
       plan.state.valueKb = Number(o.get("value-kb") ?? plan.state.valueKb);
@@ -98,6 +101,7 @@
     checkpointS: Number(o.get("saves") ?? 0),
     flushS: 1,
     deadlineS: null,
+    ...(o.has("after") ? { needs: o.get("after")!.split(",") } : {}),
   };
   const wire = {
     ref,
@@ -120,6 +124,7 @@
     snapshotS: spec.checkpointS,
     flushS: 1,
     closeS: null,
+    waitsOn: spec.needs,
   };
   return { wire, spec, node: o.get("at-node") };
 }
@@ -230,6 +235,12 @@
         world.clock.after(Number(c) * 1000, () => (world.cloud.outage = false));
       }
       return;
+    case "limit": {
+      // limit state writes W value-kb V changes C
+      const o = options(step.words.slice(2));
+      world.state.limit({ writeRps: Number(o.get("writes")), valueKb: Number(o.get("value-kb")), txnOps: Number(o.get("changes")) });
+      return;
+    }
     case "lose-replies":
       world.state.weatherOf(nodeNamed(a)).loseReplies = Number(b);
       return;
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -3,6 +3,7 @@
 import {
   LostPermit,
   OverRate,
+  TooLarge,
   type Condition,
   type FollowResult,
   type Op,
@@ -69,13 +70,13 @@
 
   /** Transactions that no service would take: too many changes, or too large a value. */
   readonly oversized: string[] = [];
-  private readonly requests: Bucket;
-  private readonly writes: Bucket;
+  private requests: Bucket;
+  private writes: Bucket;
 
   constructor(
     private readonly clock: VirtualClock,
     private readonly latencyMs: () => number,
-    private readonly limits: StateLimits,
+    private limits: StateLimits,
   ) {
     this.requests = new Bucket(limits.rps);
     this.writes = new Bucket(limits.writeRps);
@@ -93,6 +94,13 @@
     tick();
   }
 
+  /** Without notice. */
+  limit(limits: Partial<StateLimits>): void {
+    this.limits = { ...this.limits, ...limits };
+    this.requests = new Bucket(this.limits.rps);
+    this.writes = new Bucket(this.limits.writeRps);
+  }
+
   weatherOf(node: string): Weather {
     let weather = this.weather.get(node);
     if (weather === undefined)
@@ -135,15 +143,18 @@
     return this.log.filter((e) => e.stamp > from && ("write" in e ? e.write : e.remove).startsWith(prefix));
   }
 
-  private measure(conditions: Condition[], apply: Op[]): void {
+  private tooLarge(conditions: Condition[], apply: Op[]): boolean {
     const { valueKb, txnOps } = this.limits;
-    const sizes = apply.map((op) => ("write" in op ? JSON.stringify(op.v).length : 0));
-    const whole = JSON.stringify({ if: conditions, apply }).length;
-    if (apply.length > txnOps || conditions.length > 4 * txnOps || whole > 64 * 1024 || sizes.some((size) => size > valueKb * 1024))
-      this.oversized.push(`${apply.length} changes, ${conditions.length} conditions, ${whole} bytes, ${sizes.join()}`);
+    const sizes = apply.map((op) => ("write" in op ? Buffer.byteLength(JSON.stringify(op.v)) : 0));
+    const whole = Buffer.byteLength(JSON.stringify({ if: conditions, apply }));
+    const large =
+      apply.length > txnOps || conditions.length > 4 * txnOps || whole > 64 * 1024 || sizes.some((size) => size > valueKb * 1024);
+    if (large) this.oversized.push(`${apply.length} changes, ${conditions.length} conditions, ${whole} bytes, ${sizes.join()}`);
+    return large;
   }
 
-  private execute(conditions: Condition[], apply: Op[]): TxnResult | "no lease" {
+  private execute(conditions: Condition[], apply: Op[]): TxnResult | "no lease" | "too large" {
+    if (this.tooLarge(conditions, apply)) return "too large";
     const failed = conditions.filter((c) => (this.data.get(c.k)?.stamp ?? 0) !== c.stamp).map((c) => c.k);
     if (failed.length > 0) return { ok: false, failed, ledger: this.ledger };
     if (apply.some((op) => "write" in op && op.permit !== undefined && !this.permits.has(op.permit))) return "no lease";
@@ -174,7 +185,6 @@
     return {
       txn: async (conditions, apply) => {
         const weather = this.weatherOf(node);
-        this.measure(conditions, apply);
         if (weather.late.count > 0) {
           weather.late.count--;
           clock.after(weather.late.ms, () => this.execute(conditions, apply));
@@ -188,6 +198,7 @@
           throw new NoReply("unanswered", "reply lost");
         }
         if (result === "no lease") throw new LostPermit("no such lease");
+        if (result === "too large") throw new TooLarge("too large");
         return result;
       },
       follow: async (prefix, from, blockMs) => {
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -31,6 +31,8 @@
   capacity: Map<string, number>;
   controllers: number;
   state: StateLimits;
+  /** What the settings say of the limits that come later. */
+  next: PlatformSettings["deployment"]["state"]["next"];
   sockets?: number;
 }
 
@@ -43,6 +45,7 @@
     capacity: new Map(),
     controllers: 3,
     state: { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 },
+    next: {},
   };
 }
 
@@ -135,6 +138,7 @@
           write_rps: this.plan.state.writeRps,
           value_kb: this.plan.state.valueKb,
           txn_ops: this.plan.state.txnOps,
+          next: this.plan.next,
         },
         cloud: { rps: 5, list_lag_s: 3 },
         quota: { core_share: 0.3, mem_mb: 178, sockets: this.plan.sockets ?? 1500 },
