Transactions beside one that takes long; rentals packed by what their machines take

Another may now go beside those that take longer than a twentieth of the limit, up to four, with keys under way left alone.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -72,7 +72,7 @@
       clock,
       requests,
       writes,
-      { txnOps: state.txnOps, retryMs: 5000 / state.writeRps },
+      { txnOps: state.txnOps, retryMs: 5000 / state.writeRps, laneMs: timing.stateTimeoutMs / 20 },
       log,
     );
     this.ownership = new Ownership(
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,7 +1,7 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
 import type { Rentals } from "../ledger/rentals.js";
-import { keys, rentalCapacity, type RentalRecord } from "../ledger/records.js";
+import { keys, rentalRecords, type RentalRecord } from "../ledger/records.js";
 import type { Allotments } from "../parts/allotments.js";
 import type { Leader } from "../parts/leader.js";
 import type { Part } from "../parts/part.js";
@@ -177,10 +177,8 @@
   }
 
   private async begin(part: Part, offer: Offer, count: number): Promise<void> {
-    // All that a rental brings is recorded in one value.
-    const most = Math.min(MOST_OF_AN_OFFER, rentalCapacity(this.settings.state.valueKb));
     const name = `${part.id}.${part.term}.${++this.hires}`;
-    const value: RentalRecord = { part: part.id, ...offer, count: Math.min(count, most), at: this.scope.clock.wall() };
+    const value: RentalRecord = { part: part.id, ...offer, count: Math.min(count, MOST_OF_AN_OFFER), at: this.scope.clock.wall() };
     const key = keys.rental(name);
     const outcome = await this.committer.commit(
       "hire",
@@ -231,13 +229,14 @@
       () => {
         const entry = this.mirror.get<RentalRecord>(key);
         if (entry === undefined || entry.v.hosts !== undefined || this.mirror.stamp(keys.owner(part.id)) !== part.term) return null;
-        const value: RentalRecord = { ...hire, at, hosts: Object.fromEntries(hosts.map((host) => [host, ""])) };
+        const records = rentalRecords({ ...hire, at }, hosts, this.settings.state.valueKb);
         return {
           conditions: [
             { k: key, stamp: entry.stamp },
             { k: keys.owner(part.id), stamp: part.term },
+            ...records.slice(1).map((_, i) => ({ k: keys.rental(name, i + 1), stamp: 0 })),
           ],
-          apply: [hosts.length === 0 ? { remove: key } : { write: key, v: value }],
+          apply: records.length === 0 ? [{ remove: key }] : records.map((v, i) => ({ write: keys.rental(name, i), v })),
         };
       },
       { turn: "soon" },
--- a/src/ledger/committer.ts
+++ b/src/ledger/committer.ts
@@ -18,6 +18,19 @@
  */
 export type Outcome = "done" | "settled" | "shed";
 
+interface Batch {
+  conditions: Condition[];
+  apply: Op[];
+  intents: Intent[];
+}
+
+/** A batch under way. */
+interface Flight extends Batch {
+  since: number;
+}
+
+const keyOf = (op: Op): string => ("write" in op ? op.write : op.remove);
+
 interface Intent {
   label: string;
   draft: () => Draft | null;
@@ -37,6 +50,8 @@
 const RANK: Record<Turn, number> = { now: 0, soon: 1, later: 2 };
 
 const MAX_QUEUE = 2000;
+/** Transactions under way at the same time, at most. */
+const MAX_FLIGHTS = 4;
 const MAX_BODY = 60 * 1024;
 
 /**
@@ -48,6 +63,8 @@
 export class Committer {
   private queue: Intent[] = [];
   private running = false;
+  private readonly flights = new Set<Flight>();
+  private onLanding: (() => void) | null = null;
   stats = { transactions: 0, writes: 0, conflicts: 0, unanswered: 0 };
 
   constructor(
@@ -56,12 +73,13 @@
     private readonly clock: Clock,
     private readonly requests: Rate,
     private readonly writes: Rate,
-    private readonly limits: { txnOps: number; retryMs: number },
+    /** `laneMs`: a transaction that takes longer keeps others waiting no more. */
+    private readonly limits: { txnOps: number; retryMs: number; laneMs: number },
     private readonly log: Log,
   ) {}
 
   get backlog(): number {
-    return this.queue.length;
+    return this.queue.length + [...this.flights].reduce((n, { intents }) => n + intents.length, 0);
   }
 
   /** `alone`: shares its transaction, hence its stamp, with nothing else. `shedAfterMs`: give up if it could not be sent by then. `turn`: `later` if not given. */
@@ -100,10 +118,12 @@
       return false;
     });
     if (!this.mirror.loaded) return sleep(this.clock, this.limits.retryMs);
+    const laneMs = this.nextLaneMs();
+    if (laneMs > 0) return this.landed(laneMs);
     // As many changes as there are writes for now: waiting until all that piled up
     // fits would keep the most urgent change waiting with it.
     const batch = this.assemble(Math.min(this.limits.txnOps, Math.floor(this.writes.available())));
-    if (batch === null) return;
+    if (batch === null) return this.queue.length > 0 ? this.landed(this.limits.laneMs) : undefined;
     const wait = Math.max(this.requests.waitMs(1), this.writes.waitMs(batch.apply.length));
     if (wait > 0) {
       await sleep(this.clock, wait);
@@ -113,17 +133,62 @@
     this.writes.take(batch.apply.length);
     this.stats.transactions++;
     this.stats.writes += batch.apply.length;
+    const sent = new Set(batch.intents);
+    this.queue = this.queue.filter((intent) => !sent.has(intent));
+    const flight: Flight = { ...batch, since: now };
+    this.flights.add(flight);
+    const fault = (error: unknown): Intent[] => {
+      this.log.error({ err: String(error) }, "unexpected fault of a transaction");
+      return flight.intents;
+    };
+    void this.send(flight)
+      .catch(fault)
+      .then((back) => {
+        this.flights.delete(flight);
+        // First in line again, as they were.
+        this.queue.unshift(...back);
+        this.onLanding?.();
+        if (this.queue.length > 0 && !this.running) void this.run();
+      });
+  }
+
+  /**
+   * One transaction at a time shares the most. But a service that now and then takes
+   * seconds for one would keep every user waiting with it: once all that are under way
+   * take longer than usual, another may go beside them, up to a few.
+   */
+  private nextLaneMs(): number {
+    if (this.flights.size === 0) return 0;
+    if (this.flights.size >= MAX_FLIGHTS) return Infinity;
+    const last = Math.max(...[...this.flights].map(({ since }) => since));
+    return Math.max(0, last + this.limits.laneMs - this.clock.now());
+  }
+
+  /** Until some transaction has come to its end, or for so long. */
+  private landed(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const go = (): void => {
+        cancel();
+        this.onLanding = null;
+        resolve();
+      };
+      const cancel = Number.isFinite(ms) ? this.clock.after(ms, go) : () => undefined;
+      this.onLanding = go;
+    });
+  }
+
+  /** Gives back the intents that have to be drafted anew. */
+  private async send(flight: Flight): Promise<Intent[]> {
+    const { intents, apply } = flight;
     try {
-      const result = await this.state.txn(batch.conditions, batch.apply);
+      const result = await this.state.txn(flight.conditions, apply);
       if (result.ok) {
-        for (const op of batch.apply) {
+        for (const op of apply) {
           if ("write" in op) this.mirror.put(op.write, op.v, result.ledger);
           else this.mirror.drop(op.remove, result.ledger);
         }
-        const sent = new Set(batch.intents);
-        this.queue = this.queue.filter((intent) => !sent.has(intent));
-        for (const intent of batch.intents) intent.resolve("done");
-        return;
+        for (const intent of intents) intent.resolve("done");
+        return [];
       }
       this.stats.conflicts++;
       this.log.debug({ failed: result.failed }, "transaction conflicts; reading again");
@@ -131,19 +196,21 @@
     } catch (error) {
       if (error instanceof OverRate) {
         this.writes.drain();
-        return sleep(this.clock, this.limits.retryMs);
+        await sleep(this.clock, this.limits.retryMs);
+        return intents;
       }
       if (!(error instanceof NoReply)) throw error;
-      if (error instanceof TooLarge) return this.takeApart(batch.intents, error);
+      if (error instanceof TooLarge) return this.takeApart(intents, error);
       // Not executed, so not counted either: without this an outage ends with nothing left to write with.
-      if (error.kind === "refused") this.writes.give(batch.apply.length);
+      if (error.kind === "refused") this.writes.give(apply.length);
       if (error.kind === "unanswered") {
         this.stats.unanswered++;
-        for (const intent of batch.intents) intent.inDoubt = true;
+        for (const intent of intents) intent.inDoubt = true;
       }
       await sleep(this.clock, this.limits.retryMs);
       await this.readBack();
     }
+    return intents;
   }
 
   /**
@@ -151,13 +218,13 @@
    * everything behind it waiting for ever: so each goes by itself, and one that is
    * refused alone is given up.
    */
-  private takeApart(intents: Intent[], error: TooLarge): void {
+  private takeApart(intents: Intent[], error: TooLarge): Intent[] {
     for (const intent of intents) intent.alone = true;
     const [only] = intents;
-    if (intents.length > 1 || only === undefined) return;
+    if (intents.length > 1 || only === undefined) return intents;
     this.log.error({ intent: only.label, err: error.message }, "the state service does not take this change");
-    this.queue = this.queue.filter((intent) => intent !== only);
     only.resolve("shed");
+    return [];
   }
 
   private async readBack(): Promise<void> {
@@ -168,9 +235,12 @@
     }
   }
 
-  private assemble(room: number): { conditions: Condition[]; apply: Op[]; intents: Intent[] } | null {
+  private assemble(room: number): Batch | null {
     const conditions = new Map<string, number>();
     const written = new Set<string>();
+    // What is under way is not in the mirror yet: a draft that looks at it would only conflict.
+    const busy = new Set([...this.flights].flatMap(({ apply }) => apply.map(keyOf)));
+    const looked = new Set([...this.flights].flatMap((flight) => flight.conditions.map(({ k }) => k)));
     const apply: Op[] = [];
     const intents: Intent[] = [];
     let bytes = 64;
@@ -186,9 +256,8 @@
       }
       const size = JSON.stringify(draft).length;
       const clash =
-        draft.apply.some((op) => written.has("write" in op ? op.write : op.remove)) ||
-        draft.conditions.some((c) => written.has(c.k) || (conditions.has(c.k) && conditions.get(c.k) !== c.stamp)) ||
-        draft.apply.some((op) => conditions.has("write" in op ? op.write : op.remove));
+        draft.apply.map(keyOf).some((k) => written.has(k) || conditions.has(k) || busy.has(k) || looked.has(k)) ||
+        draft.conditions.some(({ k, stamp }) => written.has(k) || busy.has(k) || (conditions.has(k) && conditions.get(k) !== stamp));
       const merged = new Set([...conditions.keys(), ...draft.conditions.map((c) => c.k)]).size;
       const most = intents.length === 0 ? this.limits.txnOps : room;
       if (clash || apply.length + draft.apply.length > most || merged > 4 * this.limits.txnOps || bytes + size > MAX_BODY) {
@@ -202,7 +271,7 @@
       intents.push(intent);
       for (const c of draft.conditions) conditions.set(c.k, c.stamp);
       for (const op of draft.apply) {
-        written.add("write" in op ? op.write : op.remove);
+        written.add(keyOf(op));
         apply.push(op);
       }
       if (intent.alone) break;
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -132,7 +132,8 @@
   job: (ref: string) => `t/j/${ref}`,
   slice: (ref: string, lo: number) => `t/s/${ref}/${String(lo).padStart(6, "0")}`,
   needList: (ref: string, name: string, i: number) => `t/n/${ref}/${name}/${i}`,
-  rental: (name: string) => `t/m/${name}`,
+  /** What one record has no room for stands in further ones. */
+  rental: (name: string, further = 0) => `t/m/${name}${further > 0 ? `/${further}` : ""}`,
   owner: (part: number) => `t/o/${part}`,
   alive: (node: string) => `t/l/${node}`,
   /** Team names may hold anything; keys may not hold spaces. */
@@ -141,7 +142,7 @@
 
 /** Of a record's room, what the bit map of a slice may take, and what is added in the course of a job. */
 const BIT_MAP = 1 / 3;
-const LATER_BYTES = 128;
+const LATER_BYTES = 192;
 
 /** How many tasks one slice's bit map may cover, so that a record fits its limits. */
 export function sliceCapacity(valueKb: number): number {
@@ -157,10 +158,25 @@
   return Math.floor(Math.min(valueKb, 32) * 1024 * (1 - BIT_MAP)) - LATER_BYTES;
 }
 
-/** Of a record's room, what one machine of a rental takes at most. */
-const HOST_BYTES = 96;
+/** The longest address a machine may come up with. */
+const LONGEST_ADDR = "255.255.255.255:65535";
 
-/** How many machines one rental's record may hold. */
-export function rentalCapacity(valueKb: number): number {
-  return Math.max(1, Math.floor((Math.min(valueKb, 32) * 1024) / HOST_BYTES) - 2);
+/**
+ * What a rental brought, in as many records as it takes: each must have room for the
+ * addresses of its machines, which are written later, when no more can be moved out.
+ */
+export function rentalRecords(rental: RentalRecord, hosts: string[], valueKb: number): RentalRecord[] {
+  const records: RentalRecord[] = [];
+  const least = recordBytes({ ...rental, hosts: {} });
+  let room = 0;
+  for (const host of hosts) {
+    const bytes = recordBytes({ [host]: LONGEST_ADDR });
+    if (bytes > room) {
+      records.push({ ...rental, hosts: {} });
+      room = valueKb * 1024 - least;
+    }
+    room -= bytes;
+    records[records.length - 1]!.hosts![host] = "";
+  }
+  return records;
 }
--- /dev/null
+++ b/test/needs.test.ts
@@ -0,0 +1,113 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Mirror } from "../src/ledger/mirror.js";
+import { keys, type JobRecord, type JobSpec } from "../src/ledger/records.js";
+import { Needs } from "../src/pipelines/needs.js";
+import { Rate } from "../src/platform/rate.js";
+import { specOf } from "./world/parts.js";
+import { StateService } from "./world/state-service.js";
+import { VirtualClock } from "./world/virtual-clock.js";
+
+function ledger() {
+  const clock = new VirtualClock();
+  const state = new StateService(clock, () => 2, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
+  const mirror = new Mirror(
+    state.client("n", (fn) => fn()),
+    clock,
+    new Rate(clock, 100),
+    { readGapMs: 10, blockMs: 500 },
+  );
+  const needs = new Needs(mirror);
+  const ready: string[] = [];
+  needs.ready$.subscribe((ref) => ready.push(ref));
+  let stamp = 0;
+  const put = (ref: string, after: string[], change: Partial<JobSpec> = {}, more: Partial<JobRecord> = {}): void => {
+    const spec = specOf({ ref, ...change, ...(after.length > 0 ? { needs: after } : {}) });
+    mirror.put(keys.job(ref), { spec, part: -1, home: 0, hi: 1, done: "", at: 10, ...more } satisfies JobRecord, ++stamp);
+  };
+  const end = (ref: string, how: "done" | "withdrawn", endedAt?: number): void => {
+    const { v } = mirror.get<JobRecord>(keys.job(ref))!;
+    mirror.put(keys.job(ref), { ...v, end: how, ...(endedAt === undefined ? {} : { endedAt }) }, ++stamp);
+  };
+  return {
+    mirror,
+    needs,
+    ready,
+    put,
+    end,
+    list: (ref: string, i: number, refs: string[]) => mirror.put(keys.needList(ref, "x", i), { ref, needs: refs }, ++stamp),
+  };
+}
+
+test("a job is ready once, when the last job that it needs is done, and its times count from then", () => {
+  const { mirror, needs, ready, put, end } = ledger();
+  put("a", []);
+  put("b", []);
+  put("c", ["a", "b"]);
+  assert.ok(needs.waits("c") && !needs.waits("a"));
+  end("b", "done", 500);
+  assert.deepEqual(ready, []);
+  end("a", "done", 400);
+  assert.deepEqual(ready, ["c"]);
+  assert.ok(!needs.waits("c"));
+  assert.equal(needs.sinceWall(mirror.get<JobRecord>(keys.job("c"))!.v), 500);
+});
+
+test("records may become known in any order", () => {
+  const { needs, ready, put, end } = ledger();
+  put("c", ["a", "b"]);
+  put("d", ["c"], { urgency: "urgent" });
+  assert.ok(needs.waits("c"));
+  put("b", [], { urgency: "low" });
+  put("a", [], { urgency: "low" }, { end: "done" });
+  assert.equal(needs.urgency("b"), "urgent");
+  end("b", "done");
+  assert.deepEqual(ready, ["c"]);
+  // One that is known as done before the job that needs it.
+  put("e", ["a"]);
+  assert.ok(!needs.waits("e"));
+});
+
+test("urgency is that of any job that needs it, as long as that one is not cancelled", () => {
+  const { needs, put, end } = ledger();
+  put("a", [], { urgency: "low" });
+  put("b", ["a"], { urgency: "low" });
+  put("x", ["a"], { urgency: "normal" });
+  assert.equal(needs.urgency("a"), "normal");
+  put("c", ["b"], { urgency: "critical" });
+  assert.equal(needs.urgency("a"), "critical");
+  assert.equal(needs.urgency("b"), "critical");
+  assert.equal(needs.urgency("x"), "normal");
+  end("c", "withdrawn");
+  assert.equal(needs.urgency("b"), "low");
+  assert.equal(needs.urgency("a"), "normal");
+});
+
+test("a cancellation reaches all that needs it, however long the chain, and nothing before it", () => {
+  const { needs, ready, put, end } = ledger();
+  put("run-0", []);
+  for (let i = 1; i < 20_000; i++) put(`run-${i}`, [`run-${i - 1}`], i === 19_999 ? { urgency: "urgent" } : {});
+  assert.equal(needs.urgency("run-0"), "urgent");
+  end("run-1", "withdrawn");
+  assert.equal(needs.fate("run-19999"), "withdrawn");
+  assert.equal(needs.fate("run-0"), undefined);
+  end("run-0", "done");
+  assert.deepEqual(ready, []);
+  // One that comes later, naming a cancelled one.
+  put("run-20000", ["run-19999"]);
+  assert.equal(needs.fate("run-20000"), "withdrawn");
+});
+
+test("a job whose further needs stand in lists waits until it knows them all", () => {
+  const { needs, ready, put, end, list } = ledger();
+  put("a", [], {}, { end: "done" });
+  put("b", []);
+  put("j", ["a"], {}, { needLists: { name: "x", count: 2 } });
+  assert.ok(needs.waits("j"));
+  list("j", 1, ["b"]);
+  assert.ok(needs.waits("j"));
+  list("j", 0, ["a"]);
+  assert.ok(needs.waits("j"));
+  end("b", "done");
+  assert.deepEqual(ready, ["j"]);
+});
--- /dev/null
+++ b/test/records.test.ts
@@ -0,0 +1,48 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Bits } from "../src/platform/bits.js";
+import { partOf, recordBytes, rentalRecords, settled, sliceCapacity, specRoom, waitingFor } from "../src/ledger/records.js";
+import { specOf } from "./world/parts.js";
+
+test("a rental's machines fit their records once all have come up, however few bytes there are", () => {
+  const rental = { part: 0, type: "redaccion", zone: "sala-cuenca", spot: true, count: 50, at: 1_700_000_000_000 };
+  const hosts = Array.from({ length: 50 }, (_, i) => `i-${String(i).padStart(6, "0")}`);
+  for (const [valueKb, most] of [
+    [32, 1],
+    [2, 2],
+    [1, 4],
+  ] as const) {
+    const records = rentalRecords(rental, hosts, valueKb);
+    assert.ok(records.length <= most, `${records.length} records of ${valueKb} KB`);
+    assert.deepEqual(
+      records.flatMap((record) => Object.keys(record.hosts!)),
+      hosts,
+    );
+    for (const record of records) {
+      const up = Object.fromEntries(Object.keys(record.hosts!).map((host) => [host, "255.255.255.255:65535"]));
+      assert.ok(recordBytes({ ...record, hosts: up }) <= valueKb * 1024);
+    }
+  }
+  assert.deepEqual(rentalRecords(rental, [], 2), []);
+});
+
+test("a job's record keeps within the limit until its end", () => {
+  for (const valueKb of [1, 2, 8, 32]) {
+    const hi = sliceCapacity(valueKb);
+    const all = new Bits(hi);
+    for (let i = 0; i < hi; i++) all.set(i);
+    const spec = specOf({ image: "" });
+    spec.image = "x".repeat(specRoom(valueKb) - recordBytes(spec));
+    const record = { ...waitingFor(4), spec, hi, done: all.encode(), at: 1_700_000_000_000.123, moved: true };
+    const last = { ...record, end: "done", endedAt: 1_700_000_000_000.123, needLists: { name: "0123456789abcdef", count: 99 } };
+    assert.ok(recordBytes(last) <= valueKb * 1024, `${recordBytes(last)} of ${valueKb} KB`);
+  }
+});
+
+test("a job that waits is no part's for versions that know nothing of needs", () => {
+  const record = { ...waitingFor(2), hi: 1 };
+  assert.equal(record.part, -1);
+  assert.equal(partOf(record), 2);
+  assert.deepEqual(settled(record), { part: 2, hi: 1 });
+  assert.deepEqual(settled({ part: 1, hi: 1 }), { part: 1, hi: 1 });
+});
