--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -93,13 +93,15 @@
     const part = this.submissions.choosePart();
     if (part === null) return this.unavailable("no part has a leader yet");
     const shedAfterMs = this.settings.timing.stateTimeoutMs;
+    const began = this.scope.clock.now();
     let outcome = "shed";
     const work = this.submissions.record(spec, part, shedAfterMs).then((result) => (outcome = result));
     if (!(await this.within(work, shedAfterMs * 1.5)) || outcome === "shed")
       return this.unavailable("the job could not be recorded in time");
     if (outcome === "done") {
       const fate = this.needs.fate(spec.ref);
-      this.scope.log.debug({ job: spec.ref, part, needs: spec.needs?.length ?? 0, fate }, "job accepted");
+      const ms = Math.round(this.scope.clock.now() - began);
+      this.scope.log.debug({ job: spec.ref, part, needs: spec.needs?.length ?? 0, fate, ms }, "job accepted");
       return fate === undefined ? { status: 201, body: { ref: spec.ref, status: "queued" } } : { ...this.state(spec.ref), status: 201 };
     }
     return (await this.fresh()) ? this.state(spec.ref) : this.unavailable("the state service does not answer");
--- a/src/ledger/committer.ts
+++ b/src/ledger/committer.ts
@@ -50,6 +50,8 @@
 const RANK: Record<Turn, number> = { now: 0, soon: 1, later: 2 };
 
 const MAX_QUEUE = 2000;
+/** Of the writes that may be saved up, what is kept for users: they come singly, and are not to wait for the next. */
+const KEPT_FOR_USERS = 1 / 4;
 /** Transactions under way at the same time, at most. */
 const MAX_FLIGHTS = 4;
 const MAX_BODY = 60 * 1024;
@@ -64,7 +66,7 @@
   private queue: Intent[] = [];
   private running = false;
   private readonly flights = new Set<Flight>();
-  private onLanding: (() => void) | null = null;
+  private wake: (() => void) | null = null;
   stats = { transactions: 0, writes: 0, conflicts: 0, unanswered: 0 };
 
   constructor(
@@ -97,6 +99,7 @@
         alone: options.alone === true,
       });
       if (!this.running) void this.run();
+      else if (options.turn === "now") this.wake?.();
     });
   }
 
@@ -119,16 +122,15 @@
     });
     if (!this.mirror.loaded) return sleep(this.clock, this.limits.retryMs);
     const laneMs = this.nextLaneMs();
-    if (laneMs > 0) return this.landed(laneMs);
+    if (laneMs > 0) return this.pause(laneMs);
     // As many changes as there are writes for now: waiting until all that piled up
     // fits would keep the most urgent change waiting with it.
     const batch = this.assemble(Math.min(this.limits.txnOps, Math.floor(this.writes.available())));
-    if (batch === null) return this.queue.length > 0 ? this.landed(this.limits.laneMs) : undefined;
-    const wait = Math.max(this.requests.waitMs(1), this.writes.waitMs(batch.apply.length));
-    if (wait > 0) {
-      await sleep(this.clock, wait);
-      return; // drafted anew: more may have come to share the transaction
-    }
+    if (batch === null) return this.queue.length > 0 ? this.pause(this.limits.laneMs) : undefined;
+    const kept = Math.min(...batch.intents.map((intent) => this.keptFrom(intent)));
+    const wait = Math.max(this.requests.waitMs(1), this.writes.waitMs(batch.apply.length + kept));
+    // Drafted anew afterwards: more may have come to share the transaction.
+    if (wait > 0) return this.pause(wait);
     this.requests.take(1);
     this.writes.take(batch.apply.length);
     this.stats.transactions++;
@@ -147,11 +149,16 @@
         this.flights.delete(flight);
         // First in line again, as they were.
         this.queue.unshift(...back);
-        this.onLanding?.();
+        this.wake?.();
         if (this.queue.length > 0 && !this.running) void this.run();
       });
   }
 
+  /** Writes that must be left when this one is sent. */
+  private keptFrom({ rank }: Intent): number {
+    return rank === RANK.now ? 0 : this.writes.burst * KEPT_FOR_USERS;
+  }
+
   /**
    * One transaction at a time shares the most. But a service that now and then takes
    * seconds for one would keep every user waiting with it: once all that are under way
@@ -164,16 +171,16 @@
     return Math.max(0, last + this.limits.laneMs - this.clock.now());
   }
 
-  /** Until some transaction has come to its end, or for so long. */
-  private landed(ms: number): Promise<void> {
+  /** For so long, or until a transaction has come to its end or a user's write has come. */
+  private pause(ms: number): Promise<void> {
     return new Promise((resolve) => {
       const go = (): void => {
         cancel();
-        this.onLanding = null;
+        this.wake = null;
         resolve();
       };
       const cancel = Number.isFinite(ms) ? this.clock.after(ms, go) : () => undefined;
-      this.onLanding = go;
+      this.wake = go;
     });
   }
 
@@ -187,6 +194,8 @@
           if ("write" in op) this.mirror.put(op.write, op.v, result.ledger);
           else this.mirror.drop(op.remove, result.ledger);
         }
+        const ms = Math.round(this.clock.now() - flight.since);
+        this.log.debug({ ms, changes: apply.length, waiting: this.queue.length, flights: this.flights.size }, "transaction");
         for (const intent of intents) intent.resolve("done");
         return [];
       }
@@ -259,7 +268,7 @@
         draft.apply.map(keyOf).some((k) => written.has(k) || conditions.has(k) || busy.has(k) || looked.has(k)) ||
         draft.conditions.some(({ k, stamp }) => written.has(k) || busy.has(k) || (conditions.has(k) && conditions.get(k) !== stamp));
       const merged = new Set([...conditions.keys(), ...draft.conditions.map((c) => c.k)]).size;
-      const most = intents.length === 0 ? this.limits.txnOps : room;
+      const most = intents.length === 0 ? this.limits.txnOps : room - this.keptFrom(intent);
       if (clash || apply.length + draft.apply.length > most || merged > 4 * this.limits.txnOps || bytes + size > MAX_BODY) {
         if (intents.length === 0 && !clash) {
           this.log.error({ intent: intent.label }, "an intent exceeds a transaction's limits");
--- a/src/platform/rate.ts
+++ b/src/platform/rate.ts
@@ -8,7 +8,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly perSecond: number,
-    private readonly burst = perSecond,
+    readonly burst = perSecond,
   ) {
     this.tokens = burst;
     this.at = clock.now();
