Hold the room of stopped tasks for the job they were stopped for

Cause: tasks stopped for a gang exit one by one; what the first left went to low work in the next pass, which was then stopped for the same gang, up to twenty times a task. What fits once all have exited is now taken from what is free while the queue is gone over. Ruled out: the patience before stopping (the same tasks were stopped long after it).

--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -1,9 +1,10 @@
 import { nextAttempt, tasksWithin, usageByTeam, type Part, type Usage } from "../parts/part.js";
-import { attemptKey, freeRoom, hold, usable, type Machine } from "../workers/machine.js";
+import { attemptKey, freeRoom, hold, usable, type Capacity, type Machine } from "../workers/machine.js";
 import { Hopeless } from "./hopeless.js";
 import { inOrder, type LocalOrder } from "./order.js";
-import { placeTasks, type Slot } from "./placement.js";
+import { occupy, placeTasks, type Slot } from "./placement.js";
 import { beside, reserve, type Reservation, type ReserveContext } from "./reserve.js";
+import { shift, stoppingRoom } from "./room.js";
 import { mayStart, pieceName, place, suspect, type Placement, type Unit } from "./unit.js";
 
 export interface PassContext extends ReserveContext {
@@ -54,6 +55,42 @@
   return unit.spec.kind !== "gang" || unit.placed.size === 0;
 }
 
+/** Machines on which tasks were told to stop, with the room that makes. */
+function stoppingOn(slots: Slot[]): Map<Machine, Capacity> {
+  const rooms = new Map<Machine, Capacity>();
+  for (const { machine } of slots) {
+    const room = stoppingRoom(machine);
+    if (room.cpus > 0 || room.gpus > 0 || room.ram > 0) rooms.set(machine, room);
+  }
+  return rooms;
+}
+
+/**
+ * Tasks are stopped for a job on several machines, and exit one by one. What the first
+ * ones leave must not go to others that come later in the queue, or they would be stopped
+ * for the same job again and again, and it would wait all the longer. So what fits once
+ * all have exited is taken from what is free; how many tasks that is.
+ */
+function holdStopping(
+  unit: Unit,
+  count: number,
+  slots: Slot[],
+  stopping: ReadonlyMap<Machine, Capacity>,
+  zones: ReadonlyMap<string, number>,
+): number {
+  if (stopping.size === 0) return 0;
+  const real = new Map<Slot, Slot>();
+  for (const slot of slots) {
+    const soon: Slot = { machine: slot.machine, free: { ...slot.free } };
+    const room = stopping.get(slot.machine);
+    if (room !== undefined) shift(soon.free, room, 1);
+    real.set(soon, slot);
+  }
+  const chosen = placeTasks(unit.spec, count, [...real.keys()], zones, unit.failedOn, unit.spec.kind === "gang");
+  for (const soon of chosen) occupy(real.get(soon)!, unit.spec);
+  return chosen.length;
+}
+
 /** Goes over the queue once and gives out all the room there is. */
 export function runPass(part: Part, context: PassContext): PassResult {
   const result: PassResult = { touched: new Set(), short: new Map() };
@@ -66,6 +103,7 @@
   const noRoom = new Hopeless();
   const kept: Reservation[] = [];
   const keptFor = new Set<string>();
+  let stopping: Map<Machine, Capacity> | null = null;
   const lacking = new Map<string, { unit: Unit; missing: number }>();
   for (const unit of inOrder(waiting, context.order)) {
     const { spec } = unit;
@@ -89,23 +127,26 @@
     if (within === 0 || (isGang && within < wanted)) continue;
     const open = beside(unit, slots, kept, context);
     const chosen = placeTasks(spec, within, open, zonesInUse(part, unit), unit.failedOn, isGang);
+    let held = 0;
     if (chosen.length < within) {
+      stopping ??= stoppingOn(slots);
+      held = holdStopping(unit, within - chosen.length, open, stopping, zonesInUse(part, unit));
       // Others of its shape may end in time to use what is kept.
-      if (open.length === slots.length && unit.failedOn.size === 0) {
+      if (held === 0 && open.length === slots.length && unit.failedOn.size === 0) {
         hopeless.add(shape);
         if (!isGang) noRoom.add(spec);
       }
-      const room = isGang && !keptFor.has(spec.klass) && !suspect(unit) ? reserve(part, unit, open, context) : null;
+      const room = held === 0 && isGang && !keptFor.has(spec.klass) && !suspect(unit) ? reserve(part, unit, open, context) : null;
       if (room !== null) {
         keptFor.add(spec.klass);
         kept.push(room);
       }
-      if (chosen.length === 0) {
+      if (chosen.length === 0 && held === 0) {
         if (!context.backfill) break;
         continue;
       }
     }
-    const gangAttempt = isGang ? nextAttempt(part) : null;
+    const gangAttempt = isGang && chosen.length > 0 ? nextAttempt(part) : null;
     const tasks = unit.waiting.slice(0, chosen.length);
     chosen.forEach((slot, i) => {
       const placement: Placement = {
@@ -125,7 +166,8 @@
       hold(slot.machine, attemptKey(pieceName(unit, placement.task), placement.attempt), placement);
       result.touched.add(slot.machine);
     });
-    usage.set(spec.team, { cpus: used.cpus + spec.cpus * chosen.length, gpus: used.gpus + spec.gpus * chosen.length });
+    const taken = chosen.length + held;
+    usage.set(spec.team, { cpus: used.cpus + spec.cpus * taken, gpus: used.gpus + spec.gpus * taken });
   }
   for (const [team, { unit, missing }] of lacking) {
     const count = unit.spec.kind === "gang" ? unit.waiting.length : Math.min(PROBE, missing);
--- /dev/null
+++ b/test/holding.test.ts
@@ -0,0 +1,47 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { runPass } from "../src/queue/pass.js";
+import { choosePreemptions } from "../src/queue/preempt.js";
+import { release, type Placement } from "../src/queue/unit.js";
+import { attemptKey, letGo } from "../src/workers/machine.js";
+import { partOf, pass, queueUp, specOf } from "./world/parts.js";
+
+/** Stopped tasks exit one by one; the queue is gone over after each. */
+test("room that stopped tasks leave is held for the gang they were stopped for", () => {
+  const { part } = partOf(3, { cpus: 16, gpus: 0, ram: 64 });
+  const low = queueUp(part, specOf({ ref: "run-000001", tasks: 20, cpus: 4, urgency: "low" }));
+  runPass(part, pass);
+  assert.equal(low.placed.size, 12);
+  const gang = queueUp(part, specOf({ ref: "run-000002", kind: "gang", tasks: 3, cpus: 15, urgency: "urgent" }));
+  const context = { ...pass, patienceMs: 0, claimAfterMs: 0, excess: new Map(), guaranteed: () => false };
+  const victims = choosePreemptions(part, context);
+  assert.equal(victims.length, 12);
+  for (const victim of victims) victim.stop = { graceS: 0 };
+  const exit = (placement: Placement): void => {
+    letGo(part.machines.get(placement.host)!, attemptKey(`${low.spec.ref}/${placement.task}`, placement.attempt));
+    release(low, placement);
+  };
+  victims.forEach((victim, i) => {
+    exit(victim);
+    runPass(part, pass);
+    if (i < victims.length - 1) assert.equal(low.placed.size, victims.length - 1 - i, `after ${i + 1} exits`);
+  });
+  assert.equal(gang.placed.size, 3);
+  assert.equal(low.placed.size, 0);
+});
+
+test("what an array gets of stopped tasks' room is held, the rest of it is there for others", () => {
+  const { part } = partOf(1, { cpus: 16, gpus: 0, ram: 64 });
+  const low = queueUp(part, specOf({ ref: "run-000001", tasks: 4, cpus: 4, urgency: "low" }));
+  runPass(part, pass);
+  for (const placement of low.placed.values()) placement.stop = { graceS: 0 };
+  queueUp(part, specOf({ ref: "run-000002", tasks: 1, cpus: 8, urgency: "urgent" }));
+  const small = queueUp(part, specOf({ ref: "run-000003", tasks: 3, cpus: 4, urgency: "low" }));
+  const [first, second, third] = [...low.placed.values()];
+  for (const placement of [first!, second!, third!]) {
+    letGo(part.machines.get(placement.host)!, attemptKey(`${low.spec.ref}/${placement.task}`, placement.attempt));
+    low.placed.delete(placement.task);
+  }
+  runPass(part, pass);
+  assert.equal(small.placed.size, 1);
+});
