--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -1,6 +1,6 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, type JobRecord, type JobSpec, type SliceRecord } from "../ledger/records.js";
+import { fitting, keys, type JobRecord, type JobSpec, type SliceRecord } from "../ledger/records.js";
 import { Bits } from "../platform/bits.js";
 import type { Scope } from "../platform/scope.js";
 import type { Leader } from "../parts/leader.js";
@@ -140,10 +140,8 @@
         () => {
           const entry = this.mirror.get<JobRecord>(key);
           if (entry === undefined || this.ended(ref)) return null;
-          return {
-            conditions: [{ k: key, stamp: entry.stamp }],
-            apply: [{ write: key, v: { ...entry.v, end: "withdrawn" } satisfies JobRecord }],
-          };
+          const v = fitting<JobRecord>({ ...entry.v, end: "withdrawn" }, this.settings.state.valueKb);
+          return { conditions: [{ k: key, stamp: entry.stamp }], apply: [{ write: key, v }] };
         },
         { shedAfterMs: stateTimeoutMs, turn: "now" },
       ),
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -153,6 +153,16 @@
   return Buffer.byteLength(JSON.stringify(value));
 }
 
+/**
+ * The record as it can be written. An array that was recorded under larger limits may have a
+ * bit map that no longer fits: once the job has ended its end says all there is to say; before, its
+ * progress cannot be recorded (null), and workers keep the results, which are not cleared.
+ */
+export function fitting<T extends { done: string; end?: unknown }>(record: T, valueKb: number): T | null {
+  if (recordBytes(record) <= valueKb * 1024) return record;
+  return record.end === undefined ? null : { ...record, done: "" };
+}
+
 /** Bytes that a job's description may take of its record. */
 export function specRoom(valueKb: number): number {
   return Math.floor(Math.min(valueKb, 32) * 1024 * (1 - BIT_MAP)) - LATER_BYTES;
--- a/src/main.ts
+++ b/src/main.ts
@@ -46,7 +46,7 @@
   .action((options: { config: string }) => {
     const settings = load(options.config);
     process.stdout.write(
-      `${JSON.stringify({ self: settings.self, nodes: settings.nodes, timing: settings.timing, operators: settings.operators }, null, 2)}\n`,
+      `${JSON.stringify({ self: settings.self, nodes: settings.nodes, state: settings.state, timing: settings.timing, operators: settings.operators }, null, 2)}\n`,
     );
   });
 
--- a/src/parts/progress.ts
+++ b/src/parts/progress.ts
@@ -1,6 +1,6 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, partOf, settled, type JobRecord, type SliceRecord } from "../ledger/records.js";
+import { fitting, keys, partOf, settled, type JobRecord, type SliceRecord } from "../ledger/records.js";
 import { Bits } from "../platform/bits.js";
 import type { Unit } from "../queue/unit.js";
 import { splitPiece } from "../workers/reports.js";
@@ -51,12 +51,14 @@
       sent = unit.done.count;
       const value = { ...settled(entry.v), done: bits.encode() };
       if (complete) Object.assign(value, { end: "done", endedAt: this.led.scope.clock.wall() } satisfies Partial<JobRecord>);
+      const v = fitting(value, this.led.settings.state.valueKb);
+      if (v === null) return null;
       return {
         conditions: [
           { k: unit.key, stamp: entry.stamp },
           { k: keys.owner(part.id), stamp: part.term },
         ],
-        apply: [{ write: unit.key, v: value }],
+        apply: [{ write: unit.key, v }],
       };
     };
     void this.committer.commit("done", draft, { turn: unit.done.full ? "soon" : "later" }).then((outcome) => {
--- a/src/status/view.ts
+++ b/src/status/view.ts
@@ -4,7 +4,7 @@
 
 /** The cluster as this node sees it, for the person on call. */
 export function clusterView(controller: Controller): Record<string, unknown> {
-  const { settings, mirror, rentals, ownership, leader, exchange, fitness, stalls } = controller;
+  const { settings, mirror, rentals, needs, ownership, leader, exchange, fitness, stalls } = controller;
   const machines = [...rentals.all()];
   const parts = settings.nodes.map((_, id) => {
     const part = leader.parts.get(id);
@@ -42,6 +42,7 @@
     stalls: stalls.count,
     stoodStillMs: stalls.ms,
     present: settings.nodes.filter((node) => ownership.alive(node)),
+    jobsWaitingForOthers: needs.waiting,
     parts,
     allotments,
   };
--- a/test/records.test.ts
+++ b/test/records.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Bits } from "../src/platform/bits.js";
-import { partOf, recordBytes, rentalRecords, settled, sliceCapacity, specRoom, waitingFor } from "../src/ledger/records.js";
+import { fitting, partOf, recordBytes, rentalRecords, settled, sliceCapacity, specRoom, waitingFor } from "../src/ledger/records.js";
 import { specOf } from "./world/parts.js";
 
 test("a rental's machines fit their records once all have come up, however few bytes there are", () => {
@@ -46,3 +46,12 @@
   assert.deepEqual(settled(record), { part: 2, hi: 1 });
   assert.deepEqual(settled({ part: 1, hi: 1 }), { part: 1, hi: 1 });
 });
+
+test("of an array recorded under larger limits the end can still be written", () => {
+  const done = new Bits(20_000);
+  for (let i = 0; i < 20_000; i++) done.set(i);
+  const record = { part: 0, spec: specOf({ tasks: 20_000 }), hi: 20_000, at: 1, done: done.encode() };
+  assert.equal(fitting(record, 32), record);
+  assert.equal(fitting(record, 2), null);
+  assert.deepEqual(fitting({ ...record, end: "done" }, 2), { ...record, end: "done", done: "" });
+});
