Delete cheap machines that seem taken, as proof, instead of waiting out their leases

A machine that gave notice and is late with its report, or a cheap one without notice unheard for three intervals while few others are late, is deleted; the answer is proof that its tasks are gone. What comes free is waited for no longer than half of the shortest aim for starts.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -26,6 +26,10 @@
 /** Of a part's machines, how many may be given up to have it place again. */
 const UNHEARD_SHARE = 0.1;
 
+/** Intervals without a report after which one is late; and after which one without notice counts as taken. */
+const LATE_REPORTS = 1.6;
+const UNHEARD_REPORTS = 3;
+
 /** Reports for which an offer counts as sought: then whoever seeks it has asked again. */
 const SOUGHT_REPORTS = 3;
 
@@ -172,7 +176,7 @@
       types: this.leader.types,
       open: (offer) => this.open(offer),
       allotment: (team) => this.allotments.held(part.id, team),
-      soonMs: Math.min(...this.leader.types.map((type) => type.bootS * 1000)) * this.settings.operators.fleet.soon_per_boot,
+      soonMs: this.soonMs(),
       leftMs: ({ unit, runningAt }) => {
         const { history } = this.leader;
         return 1000 * (runningAt === null ? history.expectS(unit.spec) : history.leftS(unit.spec, (now - runningAt) / 1000));
@@ -181,6 +185,14 @@
     });
   }
 
+  /** Of the shortest boot, but no longer than half of what any class may take to start: to wait must not make it late. */
+  private soonMs(): number {
+    const { platform, operators } = this.settings;
+    const bootS = Math.min(...this.leader.types.map((type) => type.bootS));
+    const aims = platform.deployment.objectives.map((aim) => (aim.kind === "wait" ? (aim.within_s ?? Infinity) : Infinity));
+    return 1000 * Math.min(bootS * operators.fleet.soon_per_boot, Math.min(...aims) / 2);
+  }
+
   private async begin(part: Part, offer: Offer, count: number): Promise<void> {
     const name = `${part.id}.${part.term}.${++this.hires}`;
     const value: RentalRecord = { part: part.id, ...offer, count: Math.min(count, MOST_OF_AN_OFFER), at: this.scope.clock.wall() };
@@ -258,6 +270,7 @@
     const bootMs = type.bootS * 1000;
     if (machine.lost) return "lost";
     if (this.holdsUpFence(part, machine)) return "unheard while fencing";
+    if (part.phase === "serving" && this.seemsTaken(part, machine)) return machine.noticeAt === null ? "unheard and cheap" : "taken";
     if (!machine.up)
       return now - machine.hiredAt > Math.max(bootMs * late_per_boot, this.settings.timing.leaseMs) && machine.heardAt === -Infinity
         ? "never came up"
@@ -282,9 +295,30 @@
    */
   private holdsUpFence(part: Part, machine: Machine): boolean {
     if (part.phase !== "fencing" || machine.fenced || this.scope.clock.now() - part.since < this.settings.timing.leaseMs / 4) return false;
-    let unheard = 0;
-    for (const other of part.machines.values()) if (!other.fenced) unheard++;
-    return unheard <= part.machines.size * UNHEARD_SHARE;
+    return this.few(part, 0, (other) => !other.fenced);
+  }
+
+  /** So few that they can be given up, or `least`; if there are more, it is this node that cannot reach them. */
+  private few(part: Part, least: number, which: (machine: Machine) => boolean): boolean {
+    let n = 0;
+    for (const machine of part.machines.values()) if (which(machine)) n++;
+    return n <= Math.max(least, part.machines.size * UNHEARD_SHARE);
+  }
+
+  /**
+   * Cheap machines are taken back all day long, and until a lease is surely over their
+   * tasks cannot start elsewhere. Deleting the machine is proof at once. One that has
+   * given notice has little to lose; of those that have not, only a few are given up,
+   * and only cheap ones, after some reports more.
+   */
+  private seemsTaken(part: Part, machine: Machine): boolean {
+    const { reportMs } = this.settings.timing;
+    const now = this.scope.clock.now();
+    if (!machine.up || machine.heardAt === -Infinity || now - part.since < reportMs * UNHEARD_REPORTS) return false;
+    const unheard = (other: Machine, reports: number): boolean => other.up && now - other.heardAt > reportMs * reports;
+    if (machine.noticeAt !== null) return unheard(machine, LATE_REPORTS);
+    // All that are late count against it: a cut shows in one machine's reports first.
+    return machine.spot && unheard(machine, UNHEARD_REPORTS) && this.few(part, 1, (other) => unheard(other, LATE_REPORTS));
   }
 
   /** How much cheaper than the dearest machine this one is: the cheap may idle longer. */
