--- a/src/queue/order.ts
+++ b/src/queue/order.ts
@@ -28,6 +28,9 @@
   guaranteed: (unit: Unit) => boolean;
 }
 
+/** Of a step between priorities: how far behind those that have it work comes that has it from others. */
+const LIFTED = 0.5;
+
 /** Longer than anything waits: what is guaranteed comes before the rest of its priority. */
 const AGES_MS = 1e9;
 
@@ -44,7 +47,8 @@
  */
 export function localOrder(context: OrderContext): LocalOrder {
   return {
-    rank: (unit) => (context.mode === "arrival" ? 0 : rank(unit.urgency)),
+    // What only others need in a hurry must not crowd out what is urgent itself.
+    rank: (unit) => (context.mode === "arrival" ? 0 : rank(unit.urgency) + (unit.urgency === unit.spec.urgency ? 0 : LIFTED)),
     arrival: (unit) => {
       if (context.mode !== "arrival" && context.guaranteed(unit)) return unit.submittedWall - AGES_MS;
       const within = context.mode === "aims" ? context.finishS(unit.spec.klass) : Infinity;
--- a/test/needs.test.ts
+++ b/test/needs.test.ts
@@ -4,7 +4,8 @@
 import { keys, type JobRecord, type JobSpec } from "../src/ledger/records.js";
 import { Needs } from "../src/pipelines/needs.js";
 import { Rate } from "../src/platform/rate.js";
-import { specOf } from "./world/parts.js";
+import { inOrder } from "../src/queue/order.js";
+import { order, partOf, queueUp, specOf } from "./world/parts.js";
 import { StateService } from "./world/state-service.js";
 import { VirtualClock } from "./world/virtual-clock.js";
 
@@ -111,3 +112,16 @@
   end("b", "done");
   assert.deepEqual(ready, ["j"]);
 });
+
+test("work that others need in a hurry comes after what is urgent itself, and before the rest", () => {
+  const { part } = partOf(1, { cpus: 1, gpus: 0, ram: 1 });
+  const lifted = queueUp(part, specOf({ ref: "lifted", urgency: "low" }));
+  lifted.urgency = "urgent";
+  const rest = [
+    queueUp(part, specOf({ ref: "normal" })),
+    queueUp(part, specOf({ ref: "urgent", urgency: "urgent" })),
+    queueUp(part, specOf({ ref: "low", urgency: "low" })),
+  ];
+  const refs = inOrder([lifted, ...rest], order).map((unit) => unit.spec.ref);
+  assert.deepEqual(refs, ["urgent", "lifted", "normal", "low"]);
+});
