Pack the progress of arrays recorded under larger limits

A done-set of more than some 9,000 tasks no longer fits a record of 2 KB. It is packed in a field of its own, how many of the first tasks are done and a map of the rest, so that an earlier version takes too little for done, never too much.

--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -1,6 +1,6 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, partOf, settled, type JobRecord, type SliceRecord } from "../ledger/records.js";
+import { fitting, keys, partOf, settled, type JobRecord, type SliceRecord } from "../ledger/records.js";
 import { Bits } from "../platform/bits.js";
 import type { Scope } from "../platform/scope.js";
 import type { Allotments } from "../parts/allotments.js";
@@ -316,6 +316,8 @@
       const entry = this.mirror.get<JobRecord>(unit.key);
       if (entry === undefined || partOf(entry.v) !== part.id || entry.v.end !== undefined || entry.v.hi !== whole) return null;
       if (this.mirror.stamp(keys.owner(part.id)) !== part.term || this.mirror.get(key) !== undefined) return null;
+      const rest = fitting<JobRecord>({ ...settled(entry.v), hi: lo }, lo, this.settings.state.valueKb);
+      if (rest === null) return null;
       const slice: SliceRecord = { ref, part: to, lo, hi: whole, done: "", moved: true };
       return {
         conditions: [
@@ -324,7 +326,7 @@
           { k: key, stamp: 0 },
         ],
         apply: [
-          { write: unit.key, v: { ...settled(entry.v), hi: lo } },
+          { write: unit.key, v: rest },
           { write: key, v: slice },
         ],
       };
--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -1,7 +1,6 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { fitting, keys, type JobRecord, type JobSpec, type SliceRecord } from "../ledger/records.js";
-import { Bits } from "../platform/bits.js";
+import { doneOf, fitting, keys, type JobRecord, type JobSpec, type SliceRecord } from "../ledger/records.js";
 import type { Scope } from "../platform/scope.js";
 import type { Leader } from "../parts/leader.js";
 import type { Needs } from "../pipelines/needs.js";
@@ -140,7 +139,7 @@
         () => {
           const entry = this.mirror.get<JobRecord>(key);
           if (entry === undefined || this.ended(ref)) return null;
-          const v = fitting<JobRecord>({ ...entry.v, end: "withdrawn" }, this.settings.state.valueKb);
+          const v = fitting<JobRecord>({ ...entry.v, end: "withdrawn" }, entry.v.hi, this.settings.state.valueKb);
           return { conditions: [{ k: key, stamp: entry.stamp }], apply: [{ write: key, v }] };
         },
         { shedAfterMs: stateTimeoutMs, turn: "now" },
@@ -157,12 +156,12 @@
     const total = job.spec.tasks;
     // Cancelled with a job that it needs is cancelled, whether or not its own record says so.
     const fate = this.needs.fate(ref);
-    let done = fate === "done" ? total : Bits.decode(job.hi, job.done).count;
+    let done = fate === "done" ? total : doneOf(job, job.hi).count;
     let running = 0;
     if (fate === undefined) {
       if (job.hi < total) {
         for (const [key, entry] of this.mirror.rows<SliceRecord>(keys.slices)) {
-          if (key.startsWith(`${keys.slices}${ref}/`)) done += Bits.decode(entry.v.hi - entry.v.lo, entry.v.done).count;
+          if (key.startsWith(`${keys.slices}${ref}/`)) done += doneOf(entry.v, entry.v.hi - entry.v.lo).count;
         }
       }
       for (const part of this.leader.parts.values()) {
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -1,3 +1,5 @@
+import { Bits } from "../platform/bits.js";
+
 /** What is kept in the state service. Every key starts with `t/`. */
 
 export type Urgency = "critical" | "urgent" | "normal" | "low";
@@ -56,14 +58,19 @@
   return { ...rest, part: partOf(record) } as T;
 }
 
+/** A bit map of the slice's tasks; `packed` adds to it: all before `from`, and a map of the rest. */
+interface Done {
+  done: string;
+  packed?: { from: number; map: string };
+}
+
 /**
  * A job, and at the same time its first slice: tasks 0 to `hi`. Further slices
  * have keys of their own. `done` is a bit map of the slice.
  */
-export interface JobRecord extends Located {
+export interface JobRecord extends Located, Done {
   spec: JobSpec;
   hi: number;
-  done: string;
   at: number;
   /** Jobs it needs beyond those that its own record has room for stand in lists of this name. */
   needLists?: { name: string; count: number };
@@ -73,11 +80,10 @@
   moved?: boolean;
 }
 
-export interface SliceRecord extends Located {
+export interface SliceRecord extends Located, Done {
   ref: string;
   lo: number;
   hi: number;
-  done: string;
   moved?: boolean;
 }
 
@@ -153,14 +159,46 @@
   return Buffer.byteLength(JSON.stringify(value));
 }
 
+/** The tasks of a slice, of so many, that are recorded as done. */
+export function doneOf({ done, packed }: Done, size: number): Bits {
+  const bits = Bits.decode(size, done);
+  if (packed !== undefined) {
+    // A slice that was shortened ends before what was packed of it.
+    const from = Math.min(packed.from, size);
+    for (let i = 0; i < from; i++) bits.set(i);
+    const rest = Bits.decode(size - from, packed.from > size ? "" : packed.map);
+    for (let i = from; i < size; i++) if (rest.has(i - from)) bits.set(i);
+  }
+  return bits;
+}
+
+export function isDone({ done, packed }: Done, task: number): boolean {
+  if (Bits.stored(done, task)) return true;
+  return packed !== undefined && (task < packed.from || Bits.stored(packed.map, task - packed.from));
+}
+
+/** Tasks start in order, so all up to some point are done, and none much later. */
+function pack(bits: Bits): NonNullable<Done["packed"]> {
+  let from = 0;
+  while (from < bits.size && bits.has(from)) from++;
+  const rest = new Bits(bits.size - from);
+  for (let i = from; i < bits.size; i++) if (bits.has(i)) rest.set(i - from);
+  return { from, map: rest.encode() };
+}
+
 /**
  * The record as it can be written. An array that was recorded under larger limits may have a
- * bit map that no longer fits: once the job has ended its end says all there is to say; before, its
- * progress cannot be recorded (null), and workers keep the results, which are not cleared.
+ * bit map that no longer fits: then it is packed, in a field of its own, so that an earlier version
+ * would take too little for done, never too much. If even that does not fit, the end of a job
+ * says all there is to say; before, its progress cannot be recorded (null), and workers keep the results.
  */
-export function fitting<T extends { done: string; end?: unknown }>(record: T, valueKb: number): T | null {
-  if (recordBytes(record) <= valueKb * 1024) return record;
-  return record.end === undefined ? null : { ...record, done: "" };
+export function fitting<T extends Done & { end?: unknown }>(record: T, size: number, valueKb: number): T | null {
+  const fits = (one: T): boolean => recordBytes(one) <= valueKb * 1024;
+  if (fits(record)) return record;
+  const packed = { ...record, done: "", packed: pack(doneOf(record, size)) };
+  if (fits(packed)) return packed;
+  const { packed: _packed, ...rest } = record;
+  return record.end === undefined ? null : ({ ...rest, done: "" } as T);
 }
 
 /** Bytes that a job's description may take of its record. */
--- a/src/parts/holdings.ts
+++ b/src/parts/holdings.ts
@@ -1,7 +1,6 @@
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, partOf, type JobRecord, type OwnerRecord, type SliceRecord } from "../ledger/records.js";
+import { doneOf, keys, partOf, type JobRecord, type OwnerRecord, type SliceRecord } from "../ledger/records.js";
 import type { Rentals } from "../ledger/rentals.js";
-import { Bits } from "../platform/bits.js";
 import { sleep } from "../platform/clock.js";
 import type { Needs } from "../pipelines/needs.js";
 import { newUnit, shorten, type Unit } from "../queue/unit.js";
@@ -171,7 +170,7 @@
         if (unit.done.full) this.progress.record(part, unit);
       }
       if (unit === undefined) {
-        const bits = Bits.decode(entry.v.hi - lo, entry.v.done);
+        const bits = doneOf(entry.v, entry.v.hi - lo);
         const fresh = newUnit(key, job.spec, lo, entry.v.hi, bits, this.needs.sinceWall(job), this.led.now);
         fresh.urgency = this.needs.urgency(ref);
         fresh.moved = entry.v.moved === true;
--- a/src/parts/progress.ts
+++ b/src/parts/progress.ts
@@ -1,7 +1,6 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { fitting, keys, partOf, settled, type JobRecord, type SliceRecord } from "../ledger/records.js";
-import { Bits } from "../platform/bits.js";
+import { doneOf, fitting, isDone, keys, partOf, settled, type JobRecord, type SliceRecord } from "../ledger/records.js";
 import type { Unit } from "../queue/unit.js";
 import { splitPiece } from "../workers/reports.js";
 import type { Led } from "./led.js";
@@ -43,15 +42,16 @@
       const job = this.mirror.get<JobRecord>(keys.job(ref));
       if (entry === undefined || job === undefined || job.v.end !== undefined || partOf(entry.v) !== part.id) return null;
       if (this.mirror.stamp(keys.owner(part.id)) !== part.term) return null;
-      const bits = Bits.decode(unit.hi - unit.lo, entry.v.done);
+      const bits = doneOf(entry.v, unit.hi - unit.lo);
       const before = bits.count;
       bits.merge(unit.done);
       const complete = isJob && bits.full && this.slicesFull(ref);
       if (bits.count === before && !complete) return null;
       sent = unit.done.count;
-      const value = { ...settled(entry.v), done: bits.encode() };
+      const { packed: _packed, ...plain } = settled(entry.v);
+      const value = { ...plain, done: bits.encode() };
       if (complete) Object.assign(value, { end: "done", endedAt: this.led.scope.clock.wall() } satisfies Partial<JobRecord>);
-      const v = fitting(value, this.led.settings.state.valueKb);
+      const v = fitting(value, unit.hi - unit.lo, this.led.settings.state.valueKb);
       if (v === null) return null;
       return {
         conditions: [
@@ -77,7 +77,7 @@
     for (const [key, entry] of this.mirror.rows<SliceRecord>(keys.slices)) {
       if (!key.startsWith(`${keys.slices}${ref}/`)) continue;
       const slice = entry.v;
-      if (!Bits.decode(slice.hi - slice.lo, slice.done).full) return false;
+      if (!doneOf(slice, slice.hi - slice.lo).full) return false;
       covered += slice.hi - slice.lo;
     }
     return covered >= spec.spec.tasks;
@@ -89,15 +89,15 @@
     if (job === undefined) return false;
     if (job.v.end !== undefined) return true;
     const found = this.recordOf(ref, task);
-    return found !== null && Bits.stored(found.done, task - found.lo);
+    return found !== null && isDone(found.record, task - found.lo);
   }
 
-  private recordOf(ref: string, task: number): { lo: number; hi: number; done: string } | null {
+  private recordOf(ref: string, task: number): { lo: number; record: JobRecord | SliceRecord } | null {
     const job = this.mirror.get<JobRecord>(keys.job(ref));
     if (job === undefined) return null;
-    if (task < job.v.hi) return { lo: 0, hi: job.v.hi, done: job.v.done };
+    if (task < job.v.hi) return { lo: 0, record: job.v };
     for (const [key, entry] of this.mirror.rows<SliceRecord>(keys.slices)) {
-      if (key.startsWith(`${keys.slices}${ref}/`) && task >= entry.v.lo && task < entry.v.hi) return entry.v;
+      if (key.startsWith(`${keys.slices}${ref}/`) && task >= entry.v.lo && task < entry.v.hi) return { lo: entry.v.lo, record: entry.v };
     }
     return null;
   }
--- a/test/records.test.ts
+++ b/test/records.test.ts
@@ -1,7 +1,18 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Bits } from "../src/platform/bits.js";
-import { fitting, partOf, recordBytes, rentalRecords, settled, sliceCapacity, specRoom, waitingFor } from "../src/ledger/records.js";
+import {
+  doneOf,
+  fitting,
+  isDone,
+  partOf,
+  recordBytes,
+  rentalRecords,
+  settled,
+  sliceCapacity,
+  specRoom,
+  waitingFor,
+} from "../src/ledger/records.js";
 import { specOf } from "./world/parts.js";
 
 test("a rental's machines fit their records once all have come up, however few bytes there are", () => {
@@ -47,11 +58,33 @@
   assert.deepEqual(settled({ part: 1, hi: 1 }), { part: 1, hi: 1 });
 });
 
-test("of an array recorded under larger limits the end can still be written", () => {
-  const done = new Bits(20_000);
-  for (let i = 0; i < 20_000; i++) done.set(i);
-  const record = { part: 0, spec: specOf({ tasks: 20_000 }), hi: 20_000, at: 1, done: done.encode() };
-  assert.equal(fitting(record, 32), record);
-  assert.equal(fitting(record, 2), null);
-  assert.deepEqual(fitting({ ...record, end: "done" }, 2), { ...record, end: "done", done: "" });
+test("the progress of an array recorded under larger limits is packed, and an earlier version takes none of it for done", () => {
+  const size = 25_000;
+  const bits = new Bits(size);
+  for (let i = 0; i < 17_000; i++) bits.set(i);
+  for (let i = 17_001; i < 19_000; i += 3) bits.set(i);
+  const record = { part: 0, spec: specOf({ tasks: size }), hi: size, at: 1, done: bits.encode() };
+  assert.equal(fitting(record, size, 32), record);
+  const packed = fitting(record, size, 2)!;
+  assert.ok(recordBytes(packed) <= 2048 && packed.done === "");
+  assert.equal(doneOf(packed, size).encode(), record.done);
+  for (const task of [0, 16_999, 17_000, 17_001, 17_002, 17_004, 18_999, 19_001])
+    assert.equal(isDone(packed, task), bits.has(task), String(task));
+  // What an earlier version adds to the plain map counts beside it; what is cut off does not.
+  const more = new Bits(size);
+  more.set(24_000);
+  assert.equal(doneOf({ ...packed, done: more.encode() }, size).count, bits.count + 1);
+  assert.equal(doneOf(packed, 100).count, 100);
+});
+
+test("what cannot be packed either is not recorded before the end of the job", () => {
+  const size = 40_000;
+  const bits = new Bits(size);
+  for (let i = 0; i < size; i += 2) bits.set(i);
+  const record = { part: 0, spec: specOf({ tasks: size }), hi: size, at: 1, done: bits.encode() };
+  assert.equal(fitting(record, size, 2), null);
+  assert.deepEqual(fitting({ ...record, end: "done" }, size, 2), { ...record, end: "done", done: "" });
+  const all = new Bits(size);
+  for (let i = 0; i < size; i++) all.set(i);
+  assert.ok(doneOf(fitting({ ...record, done: all.encode() }, size, 2)!, size).full);
 });
