--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -185,12 +185,12 @@
     });
   }
 
-  /** Of the shortest boot, but no longer than half of what any class may take to start: to wait must not make it late. */
+  /** Of the shortest boot; nothing where that is more than half of what some class may take to start: waiting would make it late. */
   private soonMs(): number {
     const { platform, operators } = this.settings;
-    const bootS = Math.min(...this.leader.types.map((type) => type.bootS));
+    const soonS = Math.min(...this.leader.types.map((type) => type.bootS)) * operators.fleet.soon_per_boot;
     const aims = platform.deployment.objectives.map((aim) => (aim.kind === "wait" ? (aim.within_s ?? Infinity) : Infinity));
-    return 1000 * Math.min(bootS * operators.fleet.soon_per_boot, Math.min(...aims) / 2);
+    return soonS <= Math.min(...aims) / 2 ? soonS * 1000 : 0;
   }
 
   private async begin(part: Part, offer: Offer, count: number): Promise<void> {
@@ -295,14 +295,14 @@
    */
   private holdsUpFence(part: Part, machine: Machine): boolean {
     if (part.phase !== "fencing" || machine.fenced || this.scope.clock.now() - part.since < this.settings.timing.leaseMs / 4) return false;
-    return this.few(part, 0, (other) => !other.fenced);
+    return this.few(part, (other) => !other.fenced);
   }
 
-  /** So few that they can be given up, or `least`; if there are more, it is this node that cannot reach them. */
-  private few(part: Part, least: number, which: (machine: Machine) => boolean): boolean {
+  /** So few that they can be given up; if there are more, or few machines in all, it may be this node that cannot reach them. */
+  private few(part: Part, which: (machine: Machine) => boolean): boolean {
     let n = 0;
     for (const machine of part.machines.values()) if (which(machine)) n++;
-    return n <= Math.max(least, part.machines.size * UNHEARD_SHARE);
+    return n <= part.machines.size * UNHEARD_SHARE;
   }
 
   /**
@@ -318,7 +318,7 @@
     const unheard = (other: Machine, reports: number): boolean => other.up && now - other.heardAt > reportMs * reports;
     if (machine.noticeAt !== null) return unheard(machine, LATE_REPORTS);
     // All that are late count against it: a cut shows in one machine's reports first.
-    return machine.spot && unheard(machine, UNHEARD_REPORTS) && this.few(part, 1, (other) => unheard(other, LATE_REPORTS));
+    return machine.spot && unheard(machine, UNHEARD_REPORTS) && this.few(part, (other) => unheard(other, LATE_REPORTS));
   }
 
   /** How much cheaper than the dearest machine this one is: the cheap may idle longer. */
