--- /dev/null
+++ b/test/versions.test.ts
@@ -0,0 +1,55 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Mirror } from "../src/ledger/mirror.js";
+import { doneOf, keys, partOf, settled, type JobRecord } from "../src/ledger/records.js";
+import { encodeFrame, FrameReader, PROTOCOL_VERSION, type Message } from "../src/peers/messages.js";
+import { Needs } from "../src/pipelines/needs.js";
+import { Rate } from "../src/platform/rate.js";
+import { specOf } from "./world/parts.js";
+import { StateService } from "./world/state-service.js";
+import { VirtualClock } from "./world/virtual-clock.js";
+
+// Frames as version 0.3.0 writes them: it drops a peer whose hello or schema is another.
+const FRAMES: [string, Message][] = [
+  ["0000000900060c6e6573742d31", { Hello: { version: 3, node: "nest-1" } }],
+  ["00000015040e041472756e2d3030303431320c6e6573742d30", { Query: { id: 7, part: 2, job: "run-000412", from: "nest-0" } }],
+  [
+    "0000001d0a01086d6f737402066f70730000000000002940000000000000084000",
+    { Health: { stateOk: true, hears: "most", use: [{ team: "ops", cpus: 12.5, gpus: 3 }] } },
+  ],
+  ["000000140e1208706f6c6c182272756e2d30303034313222", { Relay: { id: 9, kind: "poll", body: '"run-000412"' } }],
+];
+
+test("frames are those of version 0.3.0, both ways", () => {
+  assert.equal(PROTOCOL_VERSION, 3);
+  for (const [hex, message] of FRAMES) {
+    assert.equal(encodeFrame(message).toString("hex"), hex);
+    assert.deepEqual(JSON.parse(JSON.stringify(new FrameReader().push(Buffer.from(hex, "hex")))), [message]);
+  }
+});
+
+test("a job that version 0.3.0 recorded is needed, led and written on like any other", () => {
+  const clock = new VirtualClock();
+  const state = new StateService(clock, () => 2, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
+  const mirror = new Mirror(
+    state.client("n", (fn) => fn()),
+    clock,
+    new Rate(clock, 100),
+    { readGapMs: 10, blockMs: 500 },
+  );
+  const needs = new Needs(mirror);
+  const old: JobRecord = { spec: specOf({ ref: "run-000001", tasks: 9 }), part: 2, hi: 9, done: "/w==", at: 70 };
+  mirror.put(keys.job("run-000001"), old, 1);
+  const later: JobRecord = { spec: specOf({ ref: "run-000002", needs: ["run-000001"] }), part: -1, home: 1, hi: 1, done: "", at: 50 };
+  mirror.put(keys.job("run-000002"), later, 2);
+  assert.equal(partOf(old), 2);
+  assert.equal(doneOf(old, 9).count, 8);
+  assert.deepEqual(settled(old), old);
+  assert.ok(needs.waits("run-000002"));
+  // 0.3.0 writes the end without its time, and keeps fields it does not know when it writes a record back.
+  mirror.put(keys.job("run-000001"), { ...old, end: "done" }, 3);
+  assert.ok(!needs.waits("run-000002"));
+  assert.equal(needs.sinceWall(later), 70);
+  mirror.put(keys.job("run-000002"), { ...later, end: "withdrawn" }, 4);
+  assert.equal(needs.fate("run-000002"), "withdrawn");
+});
