--- a/test/needs.test.ts
+++ b/test/needs.test.ts
@@ -1,23 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Mirror } from "../src/ledger/mirror.js";
 import { keys, type JobRecord, type JobSpec } from "../src/ledger/records.js";
 import { Needs } from "../src/pipelines/needs.js";
-import { Rate } from "../src/platform/rate.js";
 import { inOrder } from "../src/queue/order.js";
+import { mirrorByHand } from "./world/mirror.js";
 import { order, partOf, queueUp, specOf } from "./world/parts.js";
-import { StateService } from "./world/state-service.js";
-import { VirtualClock } from "./world/virtual-clock.js";
 
 function ledger() {
-  const clock = new VirtualClock();
-  const state = new StateService(clock, () => 2, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
-  const mirror = new Mirror(
-    state.client("n", (fn) => fn()),
-    clock,
-    new Rate(clock, 100),
-    { readGapMs: 10, blockMs: 500 },
-  );
+  const mirror = mirrorByHand();
   const needs = new Needs(mirror);
   const ready: string[] = [];
   needs.ready$.subscribe((ref) => ready.push(ref));
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -1,13 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Mirror } from "../src/ledger/mirror.js";
 import { doneOf, keys, partOf, settled, type JobRecord } from "../src/ledger/records.js";
 import { encodeFrame, FrameReader, PROTOCOL_VERSION, type Message } from "../src/peers/messages.js";
 import { Needs } from "../src/pipelines/needs.js";
-import { Rate } from "../src/platform/rate.js";
+import { mirrorByHand } from "./world/mirror.js";
 import { specOf } from "./world/parts.js";
-import { StateService } from "./world/state-service.js";
-import { VirtualClock } from "./world/virtual-clock.js";
 
 // Frames as version 0.3.0 writes them: it drops a peer whose hello or schema is another.
 const FRAMES: [string, Message][] = [
@@ -29,14 +26,7 @@
 });
 
 test("a job that version 0.3.0 recorded is needed, led and written on like any other", () => {
-  const clock = new VirtualClock();
-  const state = new StateService(clock, () => 2, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
-  const mirror = new Mirror(
-    state.client("n", (fn) => fn()),
-    clock,
-    new Rate(clock, 100),
-    { readGapMs: 10, blockMs: 500 },
-  );
+  const mirror = mirrorByHand();
   const needs = new Needs(mirror);
   const old: JobRecord = { spec: specOf({ ref: "run-000001", tasks: 9 }), part: 2, hi: 9, done: "/w==", at: 70 };
   mirror.put(keys.job("run-000001"), old, 1);
