--- /dev/null
+++ b/.dependency-cruiser.cjs
@@ -0,0 +1,48 @@
+/** Arrows between the rooms run one way; see CONTRIBUTING.md. */
+module.exports = {
+  forbidden: [
+    {
+      name: "no-circle",
+      comment: "A circle makes two modules one: neither can be understood, tested or loaded alone.",
+      severity: "error",
+      from: {},
+      to: { circular: true },
+    },
+    {
+      name: "protocol-alone",
+      comment: "What is on the wire depends on nothing of ours.",
+      severity: "error",
+      from: { path: "^packages/protocol/src" },
+      to: { path: "^(src|test|packages/(?!protocol/))" },
+    },
+    {
+      name: "store-on-protocol",
+      severity: "error",
+      from: { path: "^packages/store/src" },
+      to: { path: "^(src|test|packages/(?!protocol/|store/))" },
+    },
+    {
+      name: "emulator-on-store-and-protocol",
+      severity: "error",
+      from: { path: "^packages/emulator/src" },
+      to: { path: "^(src|test|packages/(?!protocol/|store/|emulator/))" },
+    },
+    {
+      name: "controller-through-one-entry",
+      comment: "The controller loads a package through its entry alone, when it is asked for.",
+      severity: "error",
+      from: { path: "^src" },
+      to: { path: "^packages/(?!protocol/)", pathNot: "^packages/[^/]+/src/entry\\.ts$" },
+    },
+  ],
+  options: {
+    doNotFollow: { path: "node_modules" },
+    tsPreCompilationDeps: true,
+    tsConfig: { fileName: "tsconfig.json" },
+    enhancedResolveOptions: {
+      exportsFields: ["exports"],
+      conditionNames: ["import", "node", "default", "types"],
+      extensions: [".ts", ".js"],
+    },
+  },
+};
--- a/src/intake/codec.ts
+++ b/packages/protocol/src/jobs.ts
@@ -1,5 +1,32 @@
 import { z } from "zod";
-import type { JobKind, JobSpec } from "../ledger/records.js";
+
+export type Urgency = "critical" | "urgent" | "normal" | "low";
+export type JobKind = "array" | "gang" | "service";
+
+export interface JobSpec {
+  ref: string;
+  klass: string;
+  team: string;
+  kind: JobKind;
+  urgency: Urgency;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  ram: number;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  image: string;
+  imageGb: number;
+  guessS: number;
+  checkpointS: number;
+  flushS: number;
+  deadlineS: number | null;
+  /** Jobs that have to be done before any task of this one starts. */
+  needs?: string[];
+}
 
 const MAX_NAME = 200;
 const MAX_AMOUNT = 1e9;
--- a/src/platform/rate.ts
+++ b/packages/protocol/src/rate.ts
@@ -1,4 +1,7 @@
-import type { Clock } from "./clock.js";
+/** Steady milliseconds. */
+export interface SteadyClock {
+  now(): number;
+}
 
 /** A token bucket with one second's worth of burst. */
 export class Rate {
@@ -6,7 +9,7 @@
   private at: number;
 
   constructor(
-    private readonly clock: Clock,
+    private readonly clock: SteadyClock,
     private readonly perSecond: number,
     readonly burst = perSecond,
   ) {
--- a/src/workers/codec.ts
+++ b/packages/protocol/src/worker.ts
@@ -1,5 +1,33 @@
 import { z } from "zod";
-import type { ExitCause, Order, Report, ReportedTask, TaskState } from "./machine.js";
+
+export type TaskState = "fetching" | "gathering" | "running" | "saving" | "exited";
+export type ExitCause = "done" | "stopped" | "mates_gone" | "alone" | "error" | "no_room" | "busy" | "no_such";
+
+export interface ReportedTask {
+  piece: string;
+  attempt: number;
+  state: TaskState;
+  cause: ExitCause | null;
+  saved: boolean;
+}
+
+export interface Report {
+  host: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  seq: number;
+  token: number;
+  noticeS: number | null;
+  tasks: ReportedTask[];
+}
+
+export type Order =
+  | { verb: "start"; piece: string; attempt: number }
+  | { verb: "stop"; piece: string; attempt: number; graceS: number }
+  | { verb: "clear"; piece: string; attempt: number };
 
 const count = z.number().int().min(0);
 
@@ -58,3 +86,17 @@
       : { verb: order.verb, piece: order.piece, try: order.attempt },
   );
 }
+
+export type ReportAnswer =
+  { kind: "orders"; token: number; orders: Order[] } | { kind: "elsewhere"; boss: string | null } | { kind: "silent" };
+
+/** `executed` false: the worker refused all of it and says how it stands. */
+export interface CommandReply {
+  executed: boolean;
+  report: Report;
+}
+
+/** Commands sent straight to workers; scenarios stand in for it. */
+export interface WorkerApi {
+  command(addr: string, token: number, session: number, orders: Order[]): Promise<CommandReply>;
+}
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -1,5 +1,6 @@
+import { NoReply } from "@thorntrail/protocol/errors";
 import { readFileSync } from "node:fs";
-import { HttpClient, NoReply, type Reply } from "../platform/http.js";
+import { HttpClient, type Reply } from "../platform/http.js";
 
 /** What went wrong, in one line that says what to do. */
 export class CommandFailed extends Error {}
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -7,20 +7,20 @@
 import { Committer } from "./ledger/committer.js";
 import { Mirror } from "./ledger/mirror.js";
 import { Rentals } from "./ledger/rentals.js";
-import type { StateApi } from "./ledger/state-client.js";
+import type { CloudApi } from "@thorntrail/protocol/cloud";
+import { Rate } from "@thorntrail/protocol/rate";
+import type { StateApi } from "@thorntrail/protocol/state";
+import type { WorkerApi } from "@thorntrail/protocol/worker";
 import { Exchange } from "./exchange/exchange.js";
-import type { CloudApi } from "./fleet/cloud-client.js";
 import { Fleet } from "./fleet/fleet.js";
 import { Jobs } from "./intake/jobs.js";
 import { Submissions } from "./intake/submissions.js";
 import { Relay } from "./intake/relay.js";
 import { Needs } from "./pipelines/needs.js";
 import type { PeerApi } from "./peers/links.js";
-import { Rate } from "./platform/rate.js";
 import type { Scope } from "./platform/scope.js";
 import type { Settings } from "./settings/derived.js";
 import { Dispatch } from "./workers/dispatch.js";
-import type { WorkerApi } from "./workers/worker-client.js";
 
 export interface Surroundings {
   state: StateApi;
@@ -75,17 +75,17 @@
       { txnOps: state.txnOps, retryMs: 5000 / state.writeRps, laneMs: timing.stateTimeoutMs / 20 },
       log,
     );
-    this.ownership = new Ownership(
+    this.ownership = new Ownership({
       settings,
       life,
-      around.state,
-      this.mirror,
-      this.committer,
-      requests,
+      state: around.state,
+      mirror: this.mirror,
+      committer: this.committer,
+      rate: requests,
       scope,
-      () => this.fitness.unfit,
-      (part) => this.fitness.reaches(part),
-    );
+      unfit: () => this.fitness.unfit,
+      reaches: (part) => this.fitness.reaches(part),
+    });
     this.allotments = new Allotments(settings, this.mirror, this.committer, scope);
     this.guarantees = new Guarantees(settings, this.mirror, this.needs, scope);
     this.leader = new Leader(
@@ -101,31 +101,22 @@
     );
     this.fitness = new Fitness(settings, this.leader.parts, this.rentals, around.workers, () => this.hasState(), scope);
     this.dispatch = new Dispatch(this.leader, around.workers, scope);
-    this.fleet = new Fleet(
+    const { leader, ownership, allotments, mirror, rentals, needs, committer } = this;
+    const { peers } = around;
+    this.fleet = new Fleet({
       settings,
-      around.cloud,
-      this.leader,
-      this.allotments,
-      this.mirror,
-      this.rentals,
-      this.committer,
-      new Rate(clock, cloud.rps * share, Math.max(1, cloud.rps * share * 2)),
-      around.peers,
+      cloud: around.cloud,
+      leader,
+      allotments,
+      mirror,
+      rentals,
+      committer,
+      rate: new Rate(clock, cloud.rps * share, Math.max(1, cloud.rps * share * 2)),
+      peers,
       scope,
-    );
-    this.exchange = new Exchange(
-      settings,
-      this.leader,
-      this.ownership,
-      this.allotments,
-      this.mirror,
-      this.needs,
-      this.committer,
-      around.peers,
-      scope,
-    );
-    const { leader, mirror, rentals, needs, committer } = this;
-    const submissions = new Submissions(settings, leader, this.ownership, mirror, rentals, needs, committer, scope);
+    });
+    this.exchange = new Exchange({ settings, leader, ownership, allotments, mirror, needs, committer, peers, scope });
+    const submissions = new Submissions({ settings, leader, ownership, mirror, rentals, needs, committer, scope });
     this.jobs = new Jobs(settings, leader, mirror, needs, submissions, committer, scope);
     this.relay = new Relay(settings, this.jobs, around.peers, () => this.peersHavingState(), scope);
   }
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,4 +1,5 @@
-import type { JobSpec } from "../ledger/records.js";
+import type { MachineType, Offer } from "@thorntrail/protocol/cloud";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import { tasksWithin, usageByTeam, type Part, type Usage } from "../parts/part.js";
 import { ready, usableSlots, zonesInUse } from "../queue/pass.js";
 import { Hopeless } from "../queue/hopeless.js";
@@ -7,7 +8,6 @@
 import { shift } from "../queue/room.js";
 import { suspect, type Placement, type Unit } from "../queue/unit.js";
 import { freeRoom, newMachine } from "../workers/machine.js";
-import type { MachineType, Offer } from "./cloud-client.js";
 
 export interface PlanContext {
   now: number;
--- a/src/intake/admission.ts
+++ b/src/intake/admission.ts
@@ -1,5 +1,5 @@
-import type { MachineType } from "../fleet/cloud-client.js";
-import type { JobSpec } from "../ledger/records.js";
+import type { MachineType } from "@thorntrail/protocol/cloud";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import type { TeamSettings } from "../settings/platform-file.js";
 
 /** Why a job can never run, or null. A limit of 0 means that there is none. */
--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -1,12 +1,12 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { doneOf, fitting, keys, type JobRecord, type JobSpec, type SliceRecord } from "../ledger/records.js";
+import { doneOf, fitting, keys, type JobRecord, type SliceRecord } from "../ledger/records.js";
 import type { Scope } from "../platform/scope.js";
 import type { Leader } from "../parts/leader.js";
 import type { Needs } from "../pipelines/needs.js";
 import type { Settings } from "../settings/derived.js";
 import { neverRuns } from "./admission.js";
-import { decodeJob, isRef } from "./codec.js";
+import { type JobSpec, decodeJob, isRef } from "@thorntrail/protocol/jobs";
 import type { Submissions } from "./submissions.js";
 
 export interface Response {
--- a/src/intake/submissions.ts
+++ b/src/intake/submissions.ts
@@ -1,16 +1,8 @@
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import { createHash } from "node:crypto";
 import type { Committer, Outcome } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import {
-  keys,
-  recordBytes,
-  sliceCapacity,
-  specRoom,
-  waitingFor,
-  type JobRecord,
-  type JobSpec,
-  type SliceRecord,
-} from "../ledger/records.js";
+import { keys, recordBytes, sliceCapacity, specRoom, waitingFor, type JobRecord, type SliceRecord } from "../ledger/records.js";
 import type { Rentals } from "../ledger/rentals.js";
 import type { Leader } from "../parts/leader.js";
 import type { Ownership } from "../parts/ownership.js";
@@ -29,31 +21,34 @@
   return taken;
 }
 
+/** Whom submissions work with. */
+export interface SubmissionsAround {
+  settings: Settings;
+  leader: Leader;
+  ownership: Ownership;
+  mirror: Mirror;
+  rentals: Rentals;
+  needs: Needs;
+  committer: Committer;
+  scope: Scope;
+}
+
 /** Makes records of what users submit. */
 export class Submissions {
   private turn = 0;
 
-  constructor(
-    private readonly settings: Settings,
-    private readonly leader: Leader,
-    private readonly ownership: Ownership,
-    private readonly mirror: Mirror,
-    private readonly rentals: Rentals,
-    private readonly needs: Needs,
-    private readonly committer: Committer,
-    private readonly scope: Scope,
-  ) {}
+  constructor(private readonly around: SubmissionsAround) {}
 
   /** Home, unless it has all the machines it can hold: then the part with the fewest. Null: nobody leads any. */
   choosePart(): number | null {
-    const own = [...this.leader.parts.values()];
+    const own = [...this.around.leader.parts.values()];
     const least = <T>(list: T[], load: (one: T) => number): T => list.reduce((a, b) => (load(b) < load(a) ? b : a));
-    const machines = (id: number): number => this.rentals.count(id);
+    const machines = (id: number): number => this.around.rentals.count(id);
     if (own.length > 0) {
       const home = least(own, (p) => (p.phase === "serving" ? 0 : 1e6) + p.units.size).id;
-      if (machines(home) < this.settings.mostMachines) return home;
+      if (machines(home) < this.around.settings.mostMachines) return home;
     }
-    const led = this.settings.nodes.map((_, id) => id).filter((id) => this.ownership.owner(id) !== undefined);
+    const led = this.around.settings.nodes.map((_, id) => id).filter((id) => this.around.ownership.owner(id) !== undefined);
     if (led.length === 0) return null;
     return own.length > 0 ? least(led, machines) : led[this.turn++ % led.length]!;
   }
@@ -61,7 +56,7 @@
   /** Can the description be stored at all, but for the jobs it needs? */
   fits(spec: JobSpec): boolean {
     const { needs: _needs, ...rest } = spec;
-    return recordBytes(rest) <= specRoom(this.settings.state.valueKb);
+    return recordBytes(rest) <= specRoom(this.around.settings.state.valueKb);
   }
 
   /**
@@ -70,12 +65,12 @@
    * those already there from an earlier try are left as they are.
    */
   async record(spec: JobSpec, part: number, shedAfterMs: number): Promise<Outcome> {
-    const { txnOps } = this.settings.state;
+    const { txnOps } = this.around.settings.state;
     const key = keys.job(spec.ref);
     const options = { shedAfterMs, turn: "now" } as const;
     const draftOf = (rowsOf: () => Map<string, unknown>) => () => {
-      if (this.mirror.get(key) !== undefined) return null;
-      const rows = [...rowsOf()].filter(([k]) => this.mirror.get(k) === undefined);
+      if (this.around.mirror.get(key) !== undefined) return null;
+      const rows = [...rowsOf()].filter(([k]) => this.around.mirror.get(k) === undefined);
       if (rows.length === 0) return null;
       return { conditions: rows.map(([k]) => ({ k, stamp: 0 })), apply: rows.map(([write, v]) => ({ write, v })) };
     };
@@ -83,7 +78,7 @@
     while (ahead.length >= txnOps) {
       const some = new Map(ahead.splice(0, txnOps));
       if (
-        (await this.committer.commit(
+        (await this.around.committer.commit(
           "submit, ahead",
           draftOf(() => some),
           options,
@@ -92,7 +87,7 @@
         return "shed";
     }
     // As things stand when it is sent: a job it needs may have ended meanwhile.
-    return this.committer.commit(
+    return this.around.committer.commit(
       "submit",
       draftOf(() => new Map<string, unknown>([[key, this.job(spec, part)], ...ahead])),
       options,
@@ -101,12 +96,12 @@
 
   /** The first slice, which is the job's own record. A gang is one slice. */
   private firstSlice(spec: JobSpec): number {
-    return spec.kind === "gang" ? spec.tasks : Math.min(sliceCapacity(this.settings.state.valueKb), spec.tasks);
+    return spec.kind === "gang" ? spec.tasks : Math.min(sliceCapacity(this.around.settings.state.valueKb), spec.tasks);
   }
 
   /** Of what it needs, what its own record has no room for: part of a list that is named by what it says. */
   private lists(spec: JobSpec): { inline: string[]; name: string; lists: string[][] } {
-    const room = specRoom(this.settings.state.valueKb);
+    const room = specRoom(this.around.settings.state.valueKb);
     const { needs = [], ...rest } = spec;
     const left = [...needs];
     const inline = takeRefs(left, room - recordBytes(rest));
@@ -123,7 +118,7 @@
     const size = this.firstSlice(spec);
     // Tasks that must agree on zones stay with one leader.
     const together = spec.oneZone || spec.spread;
-    const n = this.settings.nodes.length;
+    const n = this.around.settings.nodes.length;
     for (let lo = size, i = 1; lo < spec.tasks; lo += size, i++) {
       const at = together ? part : (part + i) % n;
       const slice: SliceRecord = {
@@ -140,11 +135,11 @@
 
   /** With one that it needs cancelled, it is recorded as cancelled; with all of them done, as any other. */
   private job(spec: JobSpec, part: number): JobRecord {
-    const at = this.scope.clock.wall();
+    const at = this.around.scope.clock.wall();
     const hi = this.firstSlice(spec);
     const { needs, ...plain } = spec;
     if (needs === undefined) return { spec, part, hi, done: "", at };
-    const fates = needs.map((ref) => this.needs.fate(ref));
+    const fates = needs.map((ref) => this.around.needs.fate(ref));
     if (fates.includes("withdrawn")) return { spec: plain, part, hi, done: "", at, end: "withdrawn" };
     if (fates.every((fate) => fate === "done")) return { spec: plain, part, hi, done: "", at };
     const { inline, name, lists } = this.lists(spec);
--- a/src/ledger/committer.ts
+++ b/src/ledger/committer.ts
@@ -1,10 +1,10 @@
 import type { Clock } from "../platform/clock.js";
 import { sleep } from "../platform/clock.js";
-import { NoReply } from "../platform/http.js";
+import { NoReply } from "@thorntrail/protocol/errors";
+import type { Rate } from "@thorntrail/protocol/rate";
+import { OverRate, TooLarge, type Condition, type Op, type StateApi } from "@thorntrail/protocol/state";
 import type { Log } from "../platform/log.js";
-import type { Rate } from "../platform/rate.js";
 import type { Mirror } from "./mirror.js";
-import { OverRate, TooLarge, type Condition, type Op, type StateApi } from "./state-client.js";
 
 export interface Draft {
   conditions: Condition[];
--- a/src/ledger/mirror.ts
+++ b/src/ledger/mirror.ts
@@ -1,10 +1,10 @@
 import { Subject } from "rxjs";
 import type { Clock } from "../platform/clock.js";
 import { sleep } from "../platform/clock.js";
-import type { Rate } from "../platform/rate.js";
+import type { Rate } from "@thorntrail/protocol/rate";
+import type { StateApi, StateEvent } from "@thorntrail/protocol/state";
 import type { Scope } from "../platform/scope.js";
 import { keys } from "./records.js";
-import type { StateApi, StateEvent } from "./state-client.js";
 
 export interface Entry<T> {
   v: T;
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -1,35 +1,8 @@
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import { Bits } from "../platform/bits.js";
 
 /** What is kept in the state service. Every key starts with `t/`. */
 
-export type Urgency = "critical" | "urgent" | "normal" | "low";
-export type JobKind = "array" | "gang" | "service";
-
-export interface JobSpec {
-  ref: string;
-  klass: string;
-  team: string;
-  kind: JobKind;
-  urgency: Urgency;
-  tasks: number;
-  cpus: number;
-  gpus: number;
-  ram: number;
-  types: string[] | null;
-  zone: string | null;
-  oneZone: boolean;
-  spread: boolean;
-  spot: boolean;
-  image: string;
-  imageGb: number;
-  guessS: number;
-  checkpointS: number;
-  flushS: number;
-  deadlineS: number | null;
-  /** Jobs that have to be done before any task of this one starts. */
-  needs?: string[];
-}
-
 /** The part of a job that was submitted while jobs it needs were not done: none, as far as earlier versions can tell. */
 const NO_PART = -1;
 
--- a/src/ledger/state-client.ts
+++ b/src/ledger/state-client.ts
@@ -1,45 +1,17 @@
-import { HttpClient, NoReply, type Reply } from "../platform/http.js";
-
-export interface Condition {
-  k: string;
-  stamp: number;
-}
-export type Op = { write: string; v: unknown; permit?: number } | { remove: string };
-export type StateEvent = { write: string; v: unknown; stamp: number } | { remove: string; stamp: number };
-
-export type TxnResult = { ok: true; ledger: number } | { ok: false; failed: string[]; ledger: number };
-export type FollowResult = { ledger: number; events: StateEvent[] } | "too-old";
-
-export interface Row {
-  k: string;
-  v: unknown;
-  stamp: number;
-}
-
-/** The state service as the ledger uses it; scenarios stand in for it. */
-export interface StateApi {
-  txn(conditions: Condition[], apply: Op[]): Promise<TxnResult>;
-  follow(prefix: string, from: number, blockMs: number): Promise<FollowResult>;
-  range(prefix: string, from: string | undefined, limit: number): Promise<{ rows: Row[]; more: boolean; ledger: number }>;
-  grant(ttlMs: number): Promise<number>;
-  renew(permit: number): Promise<boolean>;
-}
-
-/** 429: over the rate shared by all controllers. */
-export class OverRate extends NoReply {
-  constructor() {
-    super("refused", "over the rate");
-  }
-}
-
-/** 400: too large a value, or too many changes, for the limits as they are. */
-export class TooLarge extends NoReply {
-  constructor(message: string) {
-    super("refused", message);
-  }
-}
-
-export class LostPermit extends Error {}
+import { NoReply } from "@thorntrail/protocol/errors";
+import {
+  LostPermit,
+  OverRate,
+  TooLarge,
+  type Condition,
+  type FollowResult,
+  type Op,
+  type Row,
+  type StateApi,
+  type StateEvent,
+  type TxnResult,
+} from "@thorntrail/protocol/state";
+import { HttpClient, type Reply } from "../platform/http.js";
 
 export class HttpState implements StateApi {
   private readonly http = new HttpClient(8);
--- a/src/parts/fitness.ts
+++ b/src/parts/fitness.ts
@@ -1,8 +1,8 @@
 import type { Rentals } from "../ledger/rentals.js";
-import { NoReply } from "../platform/http.js";
+import { NoReply } from "@thorntrail/protocol/errors";
+import type { WorkerApi } from "@thorntrail/protocol/worker";
 import type { Scope } from "../platform/scope.js";
 import type { Settings } from "../settings/derived.js";
-import type { WorkerApi } from "../workers/worker-client.js";
 import type { Part } from "./part.js";
 
 /** What a node hears of the machines it leads; `unsure`: too few, or something in between. */
--- a/src/parts/guarantees.ts
+++ b/src/parts/guarantees.ts
@@ -1,5 +1,6 @@
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, type JobRecord, type JobSpec } from "../ledger/records.js";
+import { keys, type JobRecord } from "../ledger/records.js";
 import type { Needs } from "../pipelines/needs.js";
 import type { Scope } from "../platform/scope.js";
 import type { Settings } from "../settings/derived.js";
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -1,5 +1,6 @@
 import { Subject } from "rxjs";
-import type { MachineType } from "../fleet/cloud-client.js";
+import type { MachineType } from "@thorntrail/protocol/cloud";
+import type { Report, ReportAnswer } from "@thorntrail/protocol/worker";
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
 import type { Rentals } from "../ledger/rentals.js";
@@ -9,7 +10,7 @@
 import type { LocalOrder } from "../queue/order.js";
 import type { Shortage } from "../queue/pass.js";
 import type { Settings } from "../settings/derived.js";
-import type { Machine, Report } from "../workers/machine.js";
+import type { Machine } from "../workers/machine.js";
 import type { Allotments } from "./allotments.js";
 import { CameUp } from "./came-up.js";
 import { Consequences } from "./consequences.js";
@@ -19,7 +20,7 @@
 import type { Part } from "./part.js";
 import { Placing } from "./placing.js";
 import { Progress } from "./progress.js";
-import { ReportDesk, type ReportAnswer } from "./report-desk.js";
+import { ReportDesk } from "./report-desk.js";
 import { summarize } from "./summary.js";
 import { Watch } from "./watch.js";
 
--- a/src/parts/led.ts
+++ b/src/parts/led.ts
@@ -1,5 +1,5 @@
 import type { Subject } from "rxjs";
-import type { MachineType } from "../fleet/cloud-client.js";
+import type { MachineType } from "@thorntrail/protocol/cloud";
 import type { Scope } from "../platform/scope.js";
 import type { RunHistory } from "../queue/history.js";
 import type { Shortage } from "../queue/pass.js";
--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -1,11 +1,26 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
 import { keys, type OwnerRecord, type PresenceRecord } from "../ledger/records.js";
-import type { StateApi } from "../ledger/state-client.js";
-import type { Rate } from "../platform/rate.js";
+import type { Rate } from "@thorntrail/protocol/rate";
+import type { StateApi } from "@thorntrail/protocol/state";
 import type { Scope } from "../platform/scope.js";
 import type { Settings } from "../settings/derived.js";
 
+/** Whom ownership works with. */
+export interface OwnershipAround {
+  settings: Settings;
+  life: string;
+  state: StateApi;
+  mirror: Mirror;
+  committer: Committer;
+  rate: Rate;
+  scope: Scope;
+  /** While this node cannot reach its workers, it should not lead. */
+  unfit: () => boolean;
+  /** Do the part's machines answer this node? */
+  reaches: (part: number) => Promise<boolean>;
+}
+
 /**
  * Who is there, and who leads what. Presence is a key that vanishes unless its
  * owner renews it; a silent peer or a refusing service proves nothing by itself.
@@ -18,30 +33,18 @@
   private renewing = false;
   private readonly returning = new Set<number>();
 
-  constructor(
-    private readonly settings: Settings,
-    private readonly life: string,
-    private readonly state: StateApi,
-    private readonly mirror: Mirror,
-    private readonly committer: Committer,
-    private readonly rate: Rate,
-    private readonly scope: Scope,
-    /** While this node cannot reach its workers, it should not lead. */
-    private readonly unfit: () => boolean,
-    /** Do the part's machines answer this node? */
-    private readonly reaches: (part: number) => Promise<boolean>,
-  ) {
-    this.startedAt = scope.clock.now();
+  constructor(private readonly around: OwnershipAround) {
+    this.startedAt = around.scope.clock.now();
   }
 
   start(): void {
-    const { presenceMs } = this.settings.timing;
-    this.scope.routine(
+    const { presenceMs } = this.around.settings.timing;
+    this.around.scope.routine(
       "presence",
       () => presenceMs / 4,
       () => this.renew(),
     );
-    this.scope.routine(
+    this.around.scope.routine(
       "ownership",
       () => presenceMs / 16,
       () => this.review(),
@@ -51,17 +54,17 @@
   private async renew(): Promise<void> {
     if (this.renewing) return;
     this.renewing = true;
-    const key = keys.alive(this.settings.self);
+    const key = keys.alive(this.around.settings.self);
     try {
-      while (!this.rate.take()) await new Promise<void>((r) => this.scope.clock.after(this.rate.waitMs(), r));
-      if (this.permit !== null && (await this.state.renew(this.permit))) {
-        if (this.saysUnfit(this.settings.self) === this.unfit() && this.alive(this.settings.self)) return;
-      } else this.permit = await this.state.grant(this.settings.timing.presenceMs);
-      const value: PresenceRecord = this.unfit() ? { life: this.life, unfit: true } : { life: this.life };
-      const result = await this.state.txn([], [{ write: key, v: value, permit: this.permit }]);
-      if (result.ok) this.mirror.put(key, value, result.ledger);
+      while (!this.around.rate.take()) await new Promise<void>((r) => this.around.scope.clock.after(this.around.rate.waitMs(), r));
+      if (this.permit !== null && (await this.around.state.renew(this.permit))) {
+        if (this.saysUnfit(this.around.settings.self) === this.around.unfit() && this.alive(this.around.settings.self)) return;
+      } else this.permit = await this.around.state.grant(this.around.settings.timing.presenceMs);
+      const value: PresenceRecord = this.around.unfit() ? { life: this.around.life, unfit: true } : { life: this.around.life };
+      const result = await this.around.state.txn([], [{ write: key, v: value, permit: this.permit }]);
+      if (result.ok) this.around.mirror.put(key, value, result.ledger);
     } catch (error) {
-      this.scope.log.debug({ err: (error as Error).message }, "presence not renewed");
+      this.around.scope.log.debug({ err: (error as Error).message }, "presence not renewed");
     } finally {
       this.renewing = false;
     }
@@ -74,12 +77,12 @@
 
   /** Nodes whose presence ran out, and for how long they have been silent. */
   silentNodes(): { node: string; ms: number }[] {
-    const now = this.scope.clock.now();
+    const now = this.around.scope.clock.now();
     return [...this.missingSince].map(([node, since]) => ({ node, ms: Math.round(now - since) }));
   }
 
   private saysUnfit(node: string): boolean {
-    return this.mirror.get<PresenceRecord>(keys.alive(node))?.v.unfit === true;
+    return this.around.mirror.get<PresenceRecord>(keys.alive(node))?.v.unfit === true;
   }
 
   /** There, and not cut off from its workers. */
@@ -88,27 +91,27 @@
   }
 
   alive(node: string): boolean {
-    return this.mirror.get(keys.alive(node)) !== undefined;
+    return this.around.mirror.get(keys.alive(node)) !== undefined;
   }
 
   owner(part: number): OwnerRecord | undefined {
-    return this.mirror.get<OwnerRecord>(keys.owner(part))?.v;
+    return this.around.mirror.get<OwnerRecord>(keys.owner(part))?.v;
   }
 
   home(part: number): string {
-    return this.settings.nodes[part]!;
+    return this.around.settings.nodes[part]!;
   }
 
   private partsOf(node: string): number {
-    return this.settings.nodes.filter((_, part) => this.owner(part)?.owner === node).length;
+    return this.around.settings.nodes.filter((_, part) => this.owner(part)?.owner === node).length;
   }
 
   private review(): void {
-    const { settings } = this;
+    const { settings } = this.around;
     const { presenceMs } = settings.timing;
-    const now = this.scope.clock.now();
+    const now = this.around.scope.clock.now();
     if (!this.informed()) return;
-    if (this.unfit() !== this.saysUnfit(settings.self)) void this.renew();
+    if (this.around.unfit() !== this.saysUnfit(settings.self)) void this.renew();
     for (const node of settings.nodes) this.noteSilence(node, now);
     const settled = now - this.startedAt > presenceMs;
     settings.nodes.forEach((home, part) => {
@@ -120,10 +123,10 @@
       }
       if (record.owner === self) {
         // Our former life led it; that process is gone, its answers with it.
-        if (record.life !== this.life) this.claim(part, "own former life");
+        if (record.life !== this.around.life) this.claim(part, "own former life");
         return;
       }
-      if (this.unfit() || this.saysUnfit(self)) return;
+      if (this.around.unfit() || this.saysUnfit(self)) return;
       if (!this.able(record.owner)) {
         const missing = now - (this.missingSince.get(record.owner) ?? now);
         if (this.heir(part) === self || missing > presenceMs) this.claim(part, this.alive(record.owner) ? "owner cut off" : "owner gone");
@@ -143,16 +146,20 @@
     this.returning.add(part);
     let reached = false;
     try {
-      reached = await this.reaches(part);
+      reached = await this.around.reaches(part);
     } finally {
       this.returning.delete(part);
     }
-    if (reached && this.informed() && this.able(this.settings.self) && !this.unfit()) this.claim(part, "home again");
+    if (reached && this.informed() && this.able(this.around.settings.self) && !this.around.unfit()) this.claim(part, "home again");
   }
 
   /** What we know of the others is recent, and they see us. */
   private informed(): boolean {
-    return this.mirror.loaded && this.mirror.ageMs() <= this.settings.timing.presenceMs / 2 && this.alive(this.settings.self);
+    return (
+      this.around.mirror.loaded &&
+      this.around.mirror.ageMs() <= this.around.settings.timing.presenceMs / 2 &&
+      this.alive(this.around.settings.self)
+    );
   }
 
   private noteSilence(node: string, now: number): void {
@@ -160,12 +167,12 @@
     if (this.alive(node)) {
       if (since === undefined) return;
       this.missingSince.delete(node);
-      this.scope.log.info({ peer: node, ms: Math.round(now - since) }, "controller is back");
+      this.around.scope.log.info({ peer: node, ms: Math.round(now - since) }, "controller is back");
     } else if (since === undefined) {
       this.missingSince.set(node, now);
-      if (now - this.startedAt > this.settings.timing.presenceMs)
-        this.scope.log.warn(
-          { peer: node, parts: this.settings.nodes.map((_, part) => part).filter((p) => this.owner(p)?.owner === node) },
+      if (now - this.startedAt > this.around.settings.timing.presenceMs)
+        this.around.scope.log.warn(
+          { peer: node, parts: this.around.settings.nodes.map((_, part) => part).filter((p) => this.owner(p)?.owner === node) },
           "controller is silent",
         );
     }
@@ -173,7 +180,7 @@
 
   /** The live node that should take a part over: its home, else the one with the fewest. */
   private heir(part: number): string | undefined {
-    const live = this.settings.nodes.filter((node) => this.able(node));
+    const live = this.around.settings.nodes.filter((node) => this.able(node));
     if (live.includes(this.home(part))) return this.home(part);
     return live.sort((a, b) => this.partsOf(a) - this.partsOf(b) || (a < b ? -1 : 1))[0];
   }
@@ -182,23 +189,24 @@
     if (this.claiming.has(part)) return;
     this.claiming.add(part);
     const key = keys.owner(part);
-    const before = this.mirror.get<OwnerRecord>(key);
+    const before = this.around.mirror.get<OwnerRecord>(key);
     const draft = () => {
-      const current = this.mirror.get<OwnerRecord>(key);
+      const current = this.around.mirror.get<OwnerRecord>(key);
       if (current?.stamp !== before?.stamp) return null;
       const conditions = [{ k: key, stamp: before?.stamp ?? 0 }];
       const gone = reason === "owner gone" || reason === "owner cut off";
-      if (gone) conditions.push({ k: keys.alive(before!.v.owner), stamp: this.mirror.stamp(keys.alive(before!.v.owner)) });
+      if (gone) conditions.push({ k: keys.alive(before!.v.owner), stamp: this.around.mirror.stamp(keys.alive(before!.v.owner)) });
       if (gone && this.able(before!.v.owner)) return null;
-      return { conditions, apply: [{ write: key, v: { owner: this.settings.self, life: this.life } satisfies OwnerRecord }] };
+      return { conditions, apply: [{ write: key, v: { owner: this.around.settings.self, life: this.around.life } satisfies OwnerRecord }] };
     };
     // Alone: the stamp is the term, and two parts taken in one transaction would
     // share it, with attempts and tokens that cannot be told apart.
-    void this.committer
-      .commit("claim", draft, { turn: "now", alone: true, shedAfterMs: this.settings.timing.presenceMs })
+    void this.around.committer
+      .commit("claim", draft, { turn: "now", alone: true, shedAfterMs: this.around.settings.timing.presenceMs })
       .then((outcome) => {
         this.claiming.delete(part);
-        if (outcome === "done") this.scope.log.info({ part, reason, term: this.mirror.stamp(key), former: before?.v.owner }, "part taken");
+        if (outcome === "done")
+          this.around.scope.log.info({ part, reason, term: this.around.mirror.stamp(key), former: before?.v.owner }, "part taken");
       });
   }
 }
--- a/src/parts/part.ts
+++ b/src/parts/part.ts
@@ -1,4 +1,5 @@
-import type { AllotmentRecord, JobSpec } from "../ledger/records.js";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
+import type { AllotmentRecord } from "../ledger/records.js";
 import type { Machine, Usage } from "../workers/machine.js";
 import type { Unit } from "../queue/unit.js";
 
--- a/src/parts/report-desk.ts
+++ b/src/parts/report-desk.ts
@@ -1,9 +1,11 @@
+import type { JobSpec } from "@thorntrail/protocol/jobs";
+import type { Order, ReportAnswer, Report, ReportedTask } from "@thorntrail/protocol/worker";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, type JobRecord, type JobSpec, type OwnerRecord } from "../ledger/records.js";
+import { keys, type JobRecord, type OwnerRecord } from "../ledger/records.js";
 import type { Rentals } from "../ledger/rentals.js";
 import { Bits } from "../platform/bits.js";
 import { newUnit, type Unit } from "../queue/unit.js";
-import type { Machine, Order, Report, ReportedTask } from "../workers/machine.js";
+import type { Machine } from "../workers/machine.js";
 import { newFindings, ordersFor, takeReport, type ReportContext } from "../workers/reports.js";
 import type { CameUp } from "./came-up.js";
 import type { Consequences } from "./consequences.js";
@@ -14,9 +16,6 @@
 
 const MAX_ORDERS = 250;
 
-export type ReportAnswer =
-  { kind: "orders"; token: number; orders: Order[] } | { kind: "elsewhere"; boss: string | null } | { kind: "silent" };
-
 /** Takes in what workers report and says what to answer. */
 export class ReportDesk {
   constructor(
--- a/src/pipelines/needs.ts
+++ b/src/pipelines/needs.ts
@@ -1,6 +1,7 @@
+import type { Urgency } from "@thorntrail/protocol/jobs";
 import { Subject } from "rxjs";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, type JobRecord, type NeedListRecord, type Urgency } from "../ledger/records.js";
+import { keys, type JobRecord, type NeedListRecord } from "../ledger/records.js";
 import { rank } from "../queue/order.js";
 
 /** How a job ended. */
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -1,25 +1,13 @@
 import { Agent, request } from "node:http";
 import { performance } from "node:perf_hooks";
 import type { Duplex } from "node:stream";
+import { NoReply } from "@thorntrail/protocol/errors";
 
 export interface Reply {
   status: number;
   body: Record<string, unknown>;
 }
 
-/**
- * `refused`: certainly not executed. `unanswered`: may have been executed, or
- * may yet be, so callers must read back and condition what they repeat.
- */
-export class NoReply extends Error {
-  constructor(
-    readonly kind: "refused" | "unanswered",
-    message: string,
-  ) {
-    super(message);
-  }
-}
-
 const MAX_REPLY_BYTES = 64 * 1024 * 1024;
 
 /** Keeps connections open after use, but no more than `mostIdle` over all hosts. */
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from "../ledger/records.js";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import type { Part } from "../parts/part.js";
 import { freeRoom, usable, type Capacity, type Machine } from "../workers/machine.js";
 import { inOrder, type LocalOrder } from "./order.js";
--- a/src/queue/history.ts
+++ b/src/queue/history.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from "../ledger/records.js";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 
 /** Owners' guesses are often wrong by half: what a class counts as before it has shown anything. */
 const USUAL_SPREAD = Math.log(1.5);
--- a/src/queue/hopeless.ts
+++ b/src/queue/hopeless.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from "../ledger/records.js";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import type { Capacity } from "../workers/machine.js";
 
 function smaller(a: Capacity, b: Capacity): boolean {
--- a/src/queue/order.ts
+++ b/src/queue/order.ts
@@ -1,4 +1,4 @@
-import type { Urgency } from "../ledger/records.js";
+import type { Urgency } from "@thorntrail/protocol/jobs";
 import type { Unit } from "./unit.js";
 
 const RANK: Record<Urgency, number> = { critical: 0, urgent: 1, normal: 2, low: 3 };
--- a/src/queue/placement.ts
+++ b/src/queue/placement.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from "../ledger/records.js";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import type { Capacity, Machine } from "../workers/machine.js";
 
 /** Room on a machine while a placement pass is being worked out. */
--- a/src/queue/soft-rooms.ts
+++ b/src/queue/soft-rooms.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from "../ledger/records.js";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import type { Part, Usage } from "../parts/part.js";
 import type { Capacity } from "../workers/machine.js";
 import { rank } from "./order.js";
--- a/src/queue/unit.ts
+++ b/src/queue/unit.ts
@@ -1,6 +1,6 @@
 import { Bits } from "../platform/bits.js";
-import type { JobSpec, Urgency } from "../ledger/records.js";
-import type { TaskState } from "../workers/machine.js";
+import type { JobSpec, Urgency } from "@thorntrail/protocol/jobs";
+import type { TaskState } from "@thorntrail/protocol/worker";
 
 /** One attempt at one task on one machine, from its start order until proven gone. */
 export interface Placement {
--- a/src/workers/dispatch.ts
+++ b/src/workers/dispatch.ts
@@ -1,11 +1,11 @@
 import type { Leader } from "../parts/leader.js";
 import type { Part } from "../parts/part.js";
-import { NoReply } from "../platform/http.js";
+import { NoReply } from "@thorntrail/protocol/errors";
+import type { WorkerApi } from "@thorntrail/protocol/worker";
 import type { Scope } from "../platform/scope.js";
 import { pieceName } from "../queue/unit.js";
 import { attemptKey, type Machine } from "./machine.js";
 import { ordersFor } from "./reports.js";
-import type { WorkerApi } from "./worker-client.js";
 
 const MAX_DIRECT = 100;
 
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -1,34 +1,6 @@
+import type { ReportedTask } from "@thorntrail/protocol/worker";
 import type { Placement } from "../queue/unit.js";
 
-export type TaskState = "fetching" | "gathering" | "running" | "saving" | "exited";
-export type ExitCause = "done" | "stopped" | "mates_gone" | "alone" | "error" | "no_room" | "busy" | "no_such";
-
-export interface ReportedTask {
-  piece: string;
-  attempt: number;
-  state: TaskState;
-  cause: ExitCause | null;
-  saved: boolean;
-}
-
-export interface Report {
-  host: string;
-  addr: string;
-  type: string;
-  zone: string;
-  spot: boolean;
-  session: number;
-  seq: number;
-  token: number;
-  noticeS: number | null;
-  tasks: ReportedTask[];
-}
-
-export type Order =
-  | { verb: "start"; piece: string; attempt: number }
-  | { verb: "stop"; piece: string; attempt: number; graceS: number }
-  | { verb: "clear"; piece: string; attempt: number };
-
 export interface Capacity {
   cpus: number;
   gpus: number;
--- a/src/workers/report-endpoint.ts
+++ b/src/workers/report-endpoint.ts
@@ -1,7 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { ReportAnswer } from "../parts/report-desk.js";
-import { decodeReport, encodeOrders } from "./codec.js";
-import type { Report } from "./machine.js";
+import { type ReportAnswer, decodeReport, encodeOrders, type Report } from "@thorntrail/protocol/worker";
 
 export const REPORT_PATH = "/v1/report";
 const MAX_BODY = 64 * 1024;
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -1,6 +1,7 @@
+import type { Order, Report, ReportedTask } from "@thorntrail/protocol/worker";
 import type { Part } from "../parts/part.js";
 import { markFinished, pieceName, place, release, suspect, type Placement, type Unit } from "../queue/unit.js";
-import { attemptKey, hold, letGo, type Machine, type Order, type Report, type ReportedTask } from "./machine.js";
+import { attemptKey, hold, letGo, type Machine } from "./machine.js";
 
 /** What a report brought about, for the shell to act on. */
 export interface Findings {
--- a/src/workers/worker-client.ts
+++ b/src/workers/worker-client.ts
@@ -1,19 +1,8 @@
 import { performance } from "node:perf_hooks";
 import { mergeMap, Subject } from "rxjs";
-import { HttpClient, NoReply } from "../platform/http.js";
-import { decodeReport, encodeOrders } from "./codec.js";
-import type { Order, Report } from "./machine.js";
-
-/** `executed` false: the worker refused all of it and says how it stands. */
-export interface CommandReply {
-  executed: boolean;
-  report: Report;
-}
-
-/** Commands sent straight to workers; scenarios stand in for it. */
-export interface WorkerApi {
-  command(addr: string, token: number, session: number, orders: Order[]): Promise<CommandReply>;
-}
+import { NoReply } from "@thorntrail/protocol/errors";
+import { HttpClient } from "../platform/http.js";
+import { decodeReport, encodeOrders, type CommandReply, type Order, type WorkerApi } from "@thorntrail/protocol/worker";
 
 /**
  * A part may have more machines than this node has sockets to spare, each with a
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { JobSpec } from "../src/ledger/records.js";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import { brokenRules, type Happening, type Limits } from "./world/checker.js";
 import { specOf } from "./world/parts.js";
 
--- a/test/committer.test.ts
+++ b/test/committer.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { Committer } from "../src/ledger/committer.js";
 import { Mirror } from "../src/ledger/mirror.js";
-import { Rate } from "../src/platform/rate.js";
+import { Rate } from "@thorntrail/protocol/rate";
 import { Scope } from "../src/platform/scope.js";
 import { StateService } from "./world/state-service.js";
 import { VirtualClock } from "./world/virtual-clock.js";
--- a/test/doors.test.ts
+++ b/test/doors.test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { Doors } from "../src/platform/doors.js";
-import { NoReply } from "../src/platform/http.js";
+import { NoReply } from "@thorntrail/protocol/errors";
 import { HttpWorkers } from "../src/workers/worker-client.js";
 
 async function listen(server: Server): Promise<number> {
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -3,7 +3,7 @@
 import { Bits } from "../src/platform/bits.js";
 import { ready, runPass } from "../src/queue/pass.js";
 import { suspect, type Unit } from "../src/queue/unit.js";
-import type { ReportedTask } from "../src/workers/machine.js";
+import type { ReportedTask } from "@thorntrail/protocol/worker";
 import { newFindings, takeReport, type ReportContext } from "../src/workers/reports.js";
 import type { Part } from "../src/parts/part.js";
 import { NOW, partOf, pass, queueUp, specOf } from "./world/parts.js";
--- a/test/growth.test.ts
+++ b/test/growth.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { planHires } from "../src/fleet/plan.js";
-import type { MachineType } from "../src/fleet/cloud-client.js";
+import type { MachineType } from "@thorntrail/protocol/cloud";
 import { nextAttempt, usageByTeam, type Part } from "../src/parts/part.js";
 import { estimateWaits, type EstimateContext } from "../src/queue/estimate.js";
 import { Hopeless } from "../src/queue/hopeless.js";
--- a/test/guarantees.test.ts
+++ b/test/guarantees.test.ts
@@ -1,6 +1,7 @@
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { JobRecord, JobSpec } from "../src/ledger/records.js";
+import type { JobRecord } from "../src/ledger/records.js";
 import { grant } from "../src/parts/guarantees.js";
 import { runPass } from "../src/queue/pass.js";
 import { choosePreemptions } from "../src/queue/preempt.js";
--- a/test/intake.test.ts
+++ b/test/intake.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { decodeJob } from "../src/intake/codec.js";
+import { decodeJob } from "@thorntrail/protocol/jobs";
 
 const good = {
   ref: "run-000412",
--- a/test/mirror.test.ts
+++ b/test/mirror.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Mirror } from "../src/ledger/mirror.js";
-import { Rate } from "../src/platform/rate.js";
+import { Rate } from "@thorntrail/protocol/rate";
 import { StateService } from "./world/state-service.js";
 import { VirtualClock } from "./world/virtual-clock.js";
 
--- a/test/needs.test.ts
+++ b/test/needs.test.ts
@@ -1,6 +1,7 @@
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { keys, type JobRecord, type JobSpec } from "../src/ledger/records.js";
+import { keys, type JobRecord } from "../src/ledger/records.js";
 import { Needs } from "../src/pipelines/needs.js";
 import { inOrder } from "../src/queue/order.js";
 import { mirrorByHand } from "./world/mirror.js";
--- a/test/stall.test.ts
+++ b/test/stall.test.ts
@@ -1,10 +1,11 @@
+import { NoReply } from "@thorntrail/protocol/errors";
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { hearing } from "../src/parts/fitness.js";
 import { newPart } from "../src/parts/part.js";
-import { HttpClient, NoReply } from "../src/platform/http.js";
+import { HttpClient } from "../src/platform/http.js";
 import { WatchfulClock } from "../src/platform/stall.js";
 import { newMachine } from "../src/workers/machine.js";
 import { VirtualClock } from "./world/virtual-clock.js";
--- a/test/world/checker.ts
+++ b/test/world/checker.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from "../../src/ledger/records.js";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 
 /** What happened, as seen from outside the controllers. */
 export type Happening =
--- a/test/world/cloud-service.ts
+++ b/test/world/cloud-service.ts
@@ -1,6 +1,6 @@
-import type { CloudApi, ListedMachine, MachineType, Offer } from "../../src/fleet/cloud-client.js";
+import type { CloudApi, ListedMachine, MachineType, Offer } from "@thorntrail/protocol/cloud";
+import { NoReply } from "@thorntrail/protocol/errors";
 import type { Via } from "./world.js";
-import { NoReply } from "../../src/platform/http.js";
 import type { VirtualClock } from "./virtual-clock.js";
 
 interface Rented {
--- a/test/world/mirror.ts
+++ b/test/world/mirror.ts
@@ -1,5 +1,5 @@
 import { Mirror } from "../../src/ledger/mirror.js";
-import { Rate } from "../../src/platform/rate.js";
+import { Rate } from "@thorntrail/protocol/rate";
 import { StateService } from "./state-service.js";
 import { VirtualClock } from "./virtual-clock.js";
 
--- a/test/world/parts.ts
+++ b/test/world/parts.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from "../../src/ledger/records.js";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import { addUnit, newPart, type Part } from "../../src/parts/part.js";
 import { Bits } from "../../src/platform/bits.js";
 import { localOrder } from "../../src/queue/order.js";
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -1,4 +1,5 @@
-import { keys, type JobKind, type JobSpec, type SliceRecord, type Urgency } from "../../src/ledger/records.js";
+import type { JobKind, JobSpec, Urgency } from "@thorntrail/protocol/jobs";
+import { keys, type SliceRecord } from "../../src/ledger/records.js";
 import { plainPlan, World, type Plan } from "./world.js";
 
 /**
--- a/test/world/state-service.ts
+++ b/test/world/state-service.ts
@@ -1,5 +1,5 @@
 import type { Via } from "./world.js";
-import { NoReply } from "../../src/platform/http.js";
+import { NoReply } from "@thorntrail/protocol/errors";
 import {
   LostPermit,
   OverRate,
@@ -10,7 +10,7 @@
   type StateApi,
   type StateEvent,
   type TxnResult,
-} from "../../src/ledger/state-client.js";
+} from "@thorntrail/protocol/state";
 import type { VirtualClock } from "./virtual-clock.js";
 
 interface Watch {
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -1,8 +1,6 @@
-import type { JobSpec } from "../../src/ledger/records.js";
-import type { ReportAnswer } from "../../src/parts/report-desk.js";
-import type { CommandReply } from "../../src/workers/worker-client.js";
-import type { Order, Report, ReportedTask } from "../../src/workers/machine.js";
-import type { Offer } from "../../src/fleet/cloud-client.js";
+import type { Offer } from "@thorntrail/protocol/cloud";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
+import type { ReportAnswer, CommandReply, Order, Report, ReportedTask } from "@thorntrail/protocol/worker";
 import type { VirtualClock } from "./virtual-clock.js";
 
 export interface WorkerWorld {
