A state store that keeps what it was told: packages/store, thorntrail store serve

Need: an installation on one machine has no state service; the repository could be built and tested but not started.

--- /dev/null
+++ b/packages/protocol/src/state-wire.ts
@@ -0,0 +1,63 @@
+import { z } from "zod";
+
+/** Bounds that the protocol sets for every state service, whatever its settings. Sizes in bytes, times in ms. */
+export const STATE_BOUNDS = {
+  bodyBytes: 64 * 1024,
+  keyBytes: 200,
+  pageItems: 1000,
+  pageBytes: 512 * 1024,
+  /** Changes that a watch can still be told of. */
+  history: 10_000,
+  ttlMs: { least: 100, most: 600_000 },
+  blockMs: 60_000,
+  /** How much longer than its time a lease may live. */
+  lateMs: 100,
+  /** Conditions in a transaction, as a multiple of the changes it may have. */
+  conditionsPerChange: 4,
+} as const;
+
+const key = z
+  .string()
+  .refine(
+    (text) => text.length > 0 && Buffer.byteLength(text) <= STATE_BOUNDS.keyBytes && !/\s/.test(text),
+    "a key of 1 to 200 bytes without spaces",
+  );
+const stamp = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
+const value = z.custom<unknown>((v) => v !== undefined, "a value is missing");
+
+const wireTxn = z.object({
+  if: z.array(z.object({ k: key, stamp })).nullish(),
+  apply: z
+    .array(
+      z.union(
+        [z.object({ write: key, v: value, permit: stamp.nullish() }), z.object({ remove: key })],
+        "a write with a value, or a remove",
+      ),
+    )
+    .nullish(),
+});
+const wireGrant = z.object({ ttlMs: z.number().int().min(STATE_BOUNDS.ttlMs.least).max(STATE_BOUNDS.ttlMs.most) });
+
+export type WireTxn = z.infer<typeof wireTxn>;
+
+function said<T>(parsed: z.ZodSafeParseResult<T>): T | { fault: string } {
+  if (parsed.success) return parsed.data;
+  const [issue] = parsed.error.issues;
+  return { fault: `${issue!.path.join(".") || "body"}: ${issue!.message}` };
+}
+
+/** A transaction as it came in, or what is wrong with it. */
+export function decodeTxn(raw: unknown): WireTxn | { fault: string } {
+  return said(wireTxn.safeParse(raw));
+}
+
+/** A request for a lease, or what is wrong with it. */
+export function decodeGrant(raw: unknown): { ttlMs: number } | { fault: string } {
+  return said(wireGrant.safeParse(raw));
+}
+
+/** A key as it may be asked for, or what is wrong with it. */
+export function keyFault(text: string): string | null {
+  const parsed = key.safeParse(text);
+  return parsed.success ? null : parsed.error.issues[0]!.message;
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -18,6 +18,8 @@
   format: "esm",
   minifySyntax: true,
   minifyWhitespace: true,
+  // Its native part lies in its package; the HCL parser finds its own files beside it.
+  external: ["classic-level", "@cdktf/hcl2json"],
   define: { THORNTRAIL_VERSION: JSON.stringify(version) },
   banner: {
     js: "import{createRequire as __cr}from'node:module';const require=__cr(import.meta.url);",
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,16 +1,23 @@
-// Bundles the tests next to the build and runs them with node's own runner.
+// Builds, then bundles the tests next to the build and runs them with node's own runner.
 import { spawnSync } from "node:child_process";
-import { readdirSync, rmSync } from "node:fs";
+import { existsSync, readdirSync, rmSync } from "node:fs";
 import { build } from "esbuild";
+import "./build.mjs";
 
 rmSync("target/test", { recursive: true, force: true });
-const entryPoints = readdirSync("test", { recursive: true })
-  .map(String)
-  .filter((name) => name.endsWith(".test.ts"))
-  .map((name) => `test/${name}`);
+const folders = ["test", ...readdirSync("packages").map((name) => `packages/${name}/test`)].filter(existsSync);
+const entryPoints = folders.flatMap((folder) =>
+  readdirSync(folder, { recursive: true })
+    .map(String)
+    .filter((name) => name.endsWith(".test.ts"))
+    .map((name) => `${folder}/${name}`),
+);
 await build({
   entryPoints,
   outdir: "target/test",
+  outbase: ".",
+  // Native parts and files beside a package's own code are found from its folder.
+  external: ["classic-level", "@cdktf/hcl2json"],
   outExtension: { ".js": ".mjs" },
   bundle: true,
   platform: "node",
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from "node:fs";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { Command, CommanderError } from "commander";
+import { Command, CommanderError, InvalidArgumentError } from "commander";
 import { derive, type Settings } from "./settings/derived.js";
 import { checkOperators } from "./settings/operators.js";
 import { parsePlatform, SettingsError } from "./settings/platform-file.js";
@@ -72,15 +72,69 @@
     else process.stdout.write(`${client.statusLines(view)}\n`);
   });
 
+const store = program.command("store").description("the state service for one machine");
+const asked = (value: unknown, json: boolean | undefined): void =>
+  void process.stdout.write(
+    json === true
+      ? `${JSON.stringify(value)}\n`
+      : `${Object.entries(value as Record<string, unknown>)
+          .map(([name, one]) => `${name}: ${Array.isArray(one) ? one.join("; ") || "none" : String(one)}`)
+          .join("\n")}\n`,
+  );
+store
+  .command("serve")
+  .description("serve the state kept in a folder until ended")
+  .requiredOption("--listen <address>", "where controllers reach it, such as 127.0.0.1:2379; port 0: any free one")
+  .requiredOption("--data <dir>", "folder of the data; made if it is not there")
+  .option("--config <file>", "limits (HCL), see deploy/store.hcl")
+  .option("--admin <address>", "where operators reach health, metrics, limits and snapshots")
+  .action(async (options: { listen: string; data: string; config?: string; admin?: string }) =>
+    (await import("@thorntrail/store/entry")).storeServe(options),
+  );
+store
+  .command("check")
+  .description("read all there is in a data folder and say what does not add up")
+  .argument("<dir>")
+  .option("--json", "for scripts")
+  .action(async (dir: string, options: { json?: boolean }) => {
+    const findings = await (await import("@thorntrail/store/entry")).storeCheck(dir);
+    asked(findings, options.json);
+    if (findings.faults.length > 0) process.exitCode = 4;
+  });
+store
+  .command("snapshot")
+  .description("write a data folder that nobody serves into one file")
+  .argument("<dir>")
+  .argument("<file>")
+  .option("--json", "for scripts")
+  .action(async (dir: string, file: string, options: { json?: boolean }) =>
+    asked(await (await import("@thorntrail/store/entry")).storeSnapshot(dir, file), options.json),
+  );
+store
+  .command("restore")
+  .description("make a new data folder from a snapshot; revisions go on well past its own")
+  .argument("<file>")
+  .argument("<dir>")
+  .option("--skip <revisions>", "revisions to skip; more than were handed out since the snapshot", (text) => {
+    if (!/^\d{1,9}$/.test(text)) throw new InvalidArgumentError("expected a whole number");
+    return Number(text);
+  })
+  .option("--json", "for scripts")
+  .action(async (file: string, dir: string, options: { skip?: number; json?: boolean }) =>
+    asked(await (await import("@thorntrail/store/entry")).storeRestore(file, dir, options.skip), options.json),
+  );
+
+/** Faults of commands, by name: their classes live in packages that are not loaded unless asked for. */
+const EXITS: Record<string, number> = { SettingsFault: 3, CommandFailed: 4, FolderError: 4 };
+
 try {
   await program.parseAsync();
 } catch (error) {
   if (error instanceof CommanderError) process.exitCode = error.exitCode === 0 ? 0 : 2;
-  else if (error instanceof SettingsError) {
-    process.stderr.write(`thorntrail: ${error.message}\n`);
-    process.exitCode = 3;
-  } else if ((error as Error).constructor.name === "CommandFailed") {
+  else {
+    const exit = error instanceof SettingsError ? 3 : EXITS[(error as Error).constructor.name];
+    if (exit === undefined) throw error;
     process.stderr.write(`thorntrail: ${(error as Error).message}\n`);
-    process.exitCode = 4;
-  } else throw error;
+    process.exitCode = exit;
+  }
 }
