One model of cloud, state, workers and what lies between, in packages/emulator

Need: rehearsals on real processes and scenarios in virtual time must not each have a model of their own; the copies in test/world go.

Change: packages/emulator holds the cloud, the worker (now with saving, checkpoints, gang stops, slow machines, leases on timers instead of a tick every 100 ms), the checker, the links between parties as rules (cut, refuse, delay, drop, late, twice, wrong answer), and the world in virtual time, whose state service is packages/store itself on its memory engine. src/rehearsal gives the world this very controller. Scenario verbs are rules on links now.

--- /dev/null
+++ b/packages/emulator/src/cloud-model.ts
@@ -0,0 +1,155 @@
+import type { ListedMachine, MachineType, Offer } from "@thorntrail/protocol/cloud";
+
+/** Steady time for models, in ms; virtual or real. */
+export interface ModelClock {
+  now(): number;
+  after(ms: number, fn: () => void): () => void;
+}
+
+export interface CloudPlan {
+  types: MachineType[];
+  /** Machines there are, by `type/zone/ordinary` and `type/zone/spot`. */
+  capacity: Map<string, number>;
+  lagMs: number;
+  /** Without it every machine boots in its nominal time and every list is as late as the last. */
+  luck?: () => number;
+  /** Shares of machines that never come up, take several times as long, or are there at once. */
+  boots?: { never: number; slow: number; early: number };
+}
+
+interface Rented {
+  host: string;
+  offer: Offer;
+  bornAt: number;
+  upAt: number | null;
+  goneAt: number | null;
+  failed: boolean;
+}
+
+const PRICE_SWING = 1 / 3;
+const PRICE_MS = 60_000;
+/** Charged at least, in seconds. */
+const LEAST_CHARGE_S = 60;
+
+const keyOf = ({ type, zone, spot }: Offer): string => `${type}/${zone}/${spot ? "spot" : "ordinary"}`;
+
+/** The cloud of PROTOCOL: capacity, boots, prices, a list that lags and goes back, names that are answered again. */
+export class CloudModel {
+  private count = 0;
+  private readonly answers = new Map<string, string[]>();
+  private readonly used = new Map<string, number>();
+  readonly machines = new Map<string, Rented>();
+  private spent = 0;
+  onBoot: (host: string, offer: Offer) => void = () => undefined;
+  onGone: (host: string) => void = () => undefined;
+  /** Where a machine's worker listens, once it is up. */
+  addrOf: (host: string) => string = (host) => host;
+
+  constructor(
+    private readonly clock: ModelClock,
+    private readonly plan: CloudPlan,
+  ) {}
+
+  types(): MachineType[] {
+    const { luck } = this.plan;
+    if (luck === undefined) return this.plan.types;
+    const turn = Math.sin(this.clock.now() / PRICE_MS);
+    return this.plan.types.map((type) => ({ ...type, spotPrice: type.spotPrice * (1 + PRICE_SWING * turn) }));
+  }
+
+  /** Capacity as it is from now on. */
+  setCapacity(offer: Offer, count: number): void {
+    this.plan.capacity.set(keyOf(offer), count);
+  }
+
+  /** Null: none to be had. */
+  hire(name: string, offer: Offer, count: number): string[] | null {
+    const before = this.answers.get(name);
+    if (before !== undefined) return before;
+    const key = keyOf(offer);
+    const type = this.plan.types.find((t) => t.name === offer.type);
+    const free = Math.min(count, 50, (this.plan.capacity.get(key) ?? 0) - (this.used.get(key) ?? 0));
+    if (free <= 0 || type === undefined) return null;
+    const hosts: string[] = [];
+    for (let i = 0; i < free; i++) {
+      const host = `i-${String(++this.count).padStart(6, "0")}`;
+      const machine: Rented = { host, offer, bornAt: this.clock.now(), upAt: null, goneAt: null, failed: false };
+      this.machines.set(host, machine);
+      const bootMs = this.bootMs(type.bootS * 1000);
+      if (bootMs !== null)
+        this.clock.after(bootMs, () => {
+          if (machine.goneAt !== null || machine.failed) return;
+          machine.upAt = this.clock.now();
+          this.onBoot(host, offer);
+        });
+      hosts.push(host);
+    }
+    this.used.set(key, (this.used.get(key) ?? 0) + free);
+    this.answers.set(name, hosts);
+    return hosts;
+  }
+
+  /** Null: never. */
+  private bootMs(nominal: number): number | null {
+    const { luck, boots } = this.plan;
+    if (luck === undefined) return nominal;
+    const share = luck();
+    const { never = 0, slow = 0, early = 0 } = boots ?? {};
+    if (share < never) return null;
+    if (share < never + slow) return nominal * (2 + luck() * 3);
+    if (share < never + slow + early) return 1000 + luck() * 1000;
+    return nominal * (0.6 + luck() * 0.9);
+  }
+
+  /** It is gone, with everything on it: deleted, or taken back. */
+  remove(host: string): void {
+    const machine = this.machines.get(host);
+    if (machine === undefined || machine.goneAt !== null) return;
+    machine.goneAt = this.clock.now();
+    this.used.set(keyOf(machine.offer), (this.used.get(keyOf(machine.offer)) ?? 1) - 1);
+    this.spent += this.costOf(machine);
+    this.onGone(host);
+  }
+
+  /** It stopped by itself: listed as failed until it is deleted. */
+  fail(host: string): void {
+    const machine = this.machines.get(host);
+    if (machine === undefined || machine.goneAt !== null || machine.failed) return;
+    machine.failed = true;
+    this.onGone(host);
+  }
+
+  private costOf(machine: Rented): number {
+    const type = this.plan.types.find((t) => t.name === machine.offer.type)!;
+    const seconds = Math.max(LEAST_CHARGE_S, ((machine.goneAt ?? this.clock.now()) - machine.bornAt) / 1000);
+    return (seconds / 3600) * (machine.offer.spot ? type.spotPrice : type.price);
+  }
+
+  /** Money spent so far, in the unit of the prices. */
+  get cost(): number {
+    let sum = this.spent;
+    for (const machine of this.machines.values()) if (machine.goneAt === null) sum += this.costOf(machine);
+    return sum;
+  }
+
+  get rented(): number {
+    let n = 0;
+    for (const machine of this.machines.values()) if (machine.goneAt === null) n++;
+    return n;
+  }
+
+  /** The list as it was some time ago; `olderMs` more than usual: so a list can be older than the one before. */
+  list(from: string | undefined, limit: number, olderMs = 0): { machines: ListedMachine[]; more: boolean } {
+    const { lagMs, luck } = this.plan;
+    const asOf = this.clock.now() - lagMs * (luck === undefined || luck() < 0.8 ? 1 : 1 + luck()) - olderMs;
+    const machines: ListedMachine[] = [];
+    // Names are given in order, so the map holds them in the order of the list.
+    for (const m of this.machines.values()) {
+      if (m.bornAt > asOf || (m.goneAt !== null && m.goneAt <= asOf) || (from !== undefined && m.host <= from)) continue;
+      if (machines.length >= limit) return { machines, more: true };
+      const state = m.failed ? "failed" : m.upAt !== null && m.upAt <= asOf ? "running" : "booting";
+      machines.push({ host: m.host, addr: this.addrOf(m.host), ...m.offer, state, ageS: (asOf - m.bornAt) / 1000 });
+    }
+    return { machines, more: false };
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/entry.ts
@@ -0,0 +1,1 @@
+export { World, plainPlan, type ControllerPort, type Plan, type Spawned } from "./virtual/world.js";
--- /dev/null
+++ b/packages/emulator/src/links.ts
@@ -0,0 +1,105 @@
+/**
+ * What goes wrong between two parties, decided in one place for virtual time and for
+ * real sockets: a rule says whose calls it meets, for how long or how often, and what
+ * becomes of them. Parties are names of controllers and machines, `state` and `cloud`.
+ */
+export type WrongForm = "cut-short" | "older" | "ghost" | "other" | "error-after";
+
+export type Effect =
+  /** Packets are held, and delivered in order when the rule ends; who sent them hears nothing. */
+  | { kind: "cut" }
+  /** Answered 503, not executed. */
+  | { kind: "refuse" }
+  | { kind: "delay"; ms: number }
+  /** Executed, the answer is lost. */
+  | { kind: "drop" }
+  /** Executed so much later; no answer comes. */
+  | { kind: "late"; ms: number }
+  /** Executed a second time, right after. */
+  | { kind: "twice" }
+  /** Executed, and answered wrongly. */
+  | { kind: "wrong"; form: WrongForm };
+
+export interface Call {
+  from: string;
+  to: string;
+  /** What is asked: `txn`, `follow`, `range`, `lease`, `hire`, `remove`, `list`, `types`, `report`, `command`, `peer`. */
+  what: string;
+}
+
+export interface RuleAsked {
+  from: string;
+  to: string;
+  what?: string;
+  effect: Effect;
+  /** How many calls it meets; without it, all until it ends. */
+  count?: number;
+}
+
+interface Rule extends Required<RuleAsked> {
+  id: number;
+  held: (() => void)[];
+}
+
+/** Machines are named by the cloud, all in one form. */
+const isMachine = (name: string): boolean => name.startsWith("i-");
+const SERVICES = new Set(["state", "cloud"]);
+
+function matches(pattern: string, name: string): boolean {
+  if (pattern === "*" || pattern === name) return true;
+  if (pattern === "workers") return isMachine(name);
+  return pattern === "controllers" && !isMachine(name) && !SERVICES.has(name);
+}
+
+export class Links {
+  private rules: Rule[] = [];
+  private count = 0;
+
+  /** The rule holds until the function returned is called; what it held goes on its way then. */
+  add(asked: RuleAsked): () => void {
+    const rule: Rule = { what: "*", count: Infinity, ...asked, id: ++this.count, held: [] };
+    this.rules.push(rule);
+    return () => {
+      this.rules = this.rules.filter((other) => other !== rule);
+      for (const run of rule.held.splice(0)) run();
+    };
+  }
+
+  private find(call: Call, fits: (effect: Effect) => boolean): Rule | undefined {
+    return this.rules.find(
+      (rule) =>
+        fits(rule.effect) &&
+        rule.count > 0 &&
+        (rule.what === "*" || rule.what === call.what) &&
+        // A cut has no direction; everything else is said of calls one way.
+        ((matches(rule.from, call.from) && matches(rule.to, call.to)) ||
+          (rule.effect.kind === "cut" && matches(rule.from, call.to) && matches(rule.to, call.from))),
+    );
+  }
+
+  /** Holds the call if a cut lies in its way. */
+  hold(call: Call, run: () => void): boolean {
+    const rule = this.find(call, ({ kind }) => kind === "cut");
+    rule?.held.push(run);
+    return rule !== undefined;
+  }
+
+  /** A cut lies in the way: what cannot be held, such as an answer to one who has given up, is lost. */
+  blocked(call: Call): boolean {
+    return this.find(call, ({ kind }) => kind === "cut") !== undefined;
+  }
+
+  delayMs(call: Call): number {
+    const rule = this.find(call, ({ kind }) => kind === "delay");
+    return rule?.effect.kind === "delay" ? rule.effect.ms : 0;
+  }
+
+  /** What becomes of the call, but for cuts and delays; counts against rules that meet so many. */
+  judge(call: Call): Exclude<Effect, { kind: "cut" } | { kind: "delay" }> | null {
+    const rule = this.find(call, ({ kind }) => kind !== "cut" && kind !== "delay");
+    if (rule === undefined) return null;
+    rule.count--;
+    if (rule.count <= 0) this.rules = this.rules.filter((other) => other !== rule);
+    return rule.effect as Exclude<Effect, { kind: "cut" } | { kind: "delay" }>;
+  }
+}
--- a/test/world/virtual-clock.ts
+++ b/packages/emulator/src/virtual/clock.ts
@@ -1,5 +1,5 @@
 import { NEVER } from "rxjs";
-import type { Clock } from "../../src/platform/clock.js";
+import type { ModelClock } from "../cloud-model.js";
 
 interface Due {
   at: number;
@@ -9,7 +9,7 @@
 }
 
 /** Time that passes only when told to; events at one instant keep their order. */
-export class VirtualClock implements Clock {
+export class VirtualClock implements ModelClock {
   readonly stood$ = NEVER;
   private time = 0;
   private count = 0;
--- a/test/world/node-clock.ts
+++ b/packages/emulator/src/virtual/node-clock.ts
@@ -1,13 +1,13 @@
-import type { VirtualClock } from "./virtual-clock.js";
 import { NEVER } from "rxjs";
-import type { Clock } from "../../src/platform/clock.js";
+import type { ModelClock } from "../cloud-model.js";
+import type { VirtualClock } from "./clock.js";
 
 /**
  * Time as one controller's process sees it. While it is frozen its clocks run on,
  * but nothing of it does: what arrives waits in buffers, timers come late. On waking,
  * the buffers are emptied before any timer fires, as an event loop may well do.
  */
-export class NodeClock implements Clock {
+export class NodeClock implements ModelClock {
   readonly stood$ = NEVER;
   private frozen = false;
   private arrived: (() => void)[] = [];
--- a/test/world/world.ts
+++ b/packages/emulator/src/virtual/world.ts
@@ -1,27 +1,20 @@
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { Subject } from "rxjs";
-import { Controller } from "../../src/controller.js";
-import type { MachineType } from "@thorntrail/protocol/cloud";
+import type { CloudApi, MachineType, Offer } from "@thorntrail/protocol/cloud";
 import { NoReply } from "@thorntrail/protocol/errors";
 import type { JobSpec } from "@thorntrail/protocol/jobs";
-import type { ReportAnswer, CommandReply } from "@thorntrail/protocol/worker";
-import type { PeerApi } from "../../src/peers/links.js";
-import type { Message } from "../../src/peers/messages.js";
-import type { Log } from "../../src/platform/log.js";
-import { Scope } from "../../src/platform/scope.js";
-import { WatchfulClock } from "../../src/platform/stall.js";
-import type { Response } from "../../src/intake/jobs.js";
-import type { RequestKind } from "../../src/intake/relay.js";
-import { derive } from "../../src/settings/derived.js";
-import { checkOperators } from "../../src/settings/operators.js";
-import type { PlatformSettings, TeamSettings } from "../../src/settings/platform-file.js";
-import type { Happening, Limits } from "./checker.js";
-import { CloudService } from "./cloud-service.js";
+import { Rate } from "@thorntrail/protocol/rate";
+import type { StateApi } from "@thorntrail/protocol/state";
+import type { CommandReply, Report, ReportAnswer, WorkerApi } from "@thorntrail/protocol/worker";
+import type { StoreLimits } from "@thorntrail/store/store";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Subject } from "rxjs";
+import type { Happening, Limits } from "../checker.js";
+import { CloudModel, type CloudPlan } from "../cloud-model.js";
+import { Links } from "../links.js";
+import { Worker, type WorkerWorld } from "../worker-model.js";
+import { VirtualClock } from "./clock.js";
 import { NodeClock } from "./node-clock.js";
-import { StateService, type StateLimits } from "./state-service.js";
-import { VirtualClock } from "./virtual-clock.js";
-import { Worker, type WorkerWorld } from "./worker.js";
+import { cloudLink, VirtualState, type Via } from "./service-links.js";
 
 export interface Plan {
   seed: number;
@@ -29,10 +22,50 @@
   types: MachineType[];
   capacity: Map<string, number>;
   controllers: number;
-  state: StateLimits;
+  state: StoreLimits;
   /** What the settings say of the limits that come later. */
-  next: PlatformSettings["deployment"]["state"]["next"];
+  next: { rps?: number; write_rps?: number; value_kb?: number; txn_ops?: number };
   sockets?: number;
+  objectives?: { kind: string; class?: string; within_s?: number; share?: number }[];
+  /** Shares of machines that never come up, come late or early; without it all boot in their nominal time. */
+  boots?: NonNullable<CloudPlan["boots"]>;
+}
+
+export interface TeamSettings {
+  name: string;
+  cpus: number;
+  cpus_max: number;
+  gpus: number;
+  gpus_max: number;
+}
+
+export type RequestKind = "submit" | "poll" | "cancel";
+export interface Answer {
+  status: number;
+  body: Record<string, unknown>;
+  retryAfterS?: number;
+}
+
+type LogLine = (entry: unknown, text?: string) => void;
+
+/** What a controller is given to live in virtual time. */
+export interface Spawned {
+  /** The platform's settings, as its file would hold them. */
+  platform: Record<string, unknown>;
+  clock: NodeClock;
+  state: StateApi;
+  cloud: CloudApi;
+  workers: WorkerApi;
+  peers: { incoming$: Subject<{ from: string; message: unknown }>; send: (to: string, message: unknown) => boolean };
+  log: { error: LogLine; warn: LogLine; info: LogLine; debug: LogLine };
+  life: string;
+}
+
+/** A controller as the world around it sees it. */
+export interface ControllerPort {
+  onReport(report: Report): ReportAnswer;
+  answer(kind: RequestKind, body: unknown): Promise<Answer>;
+  close(): void;
 }
 
 /** Three controllers with usual state limits, and nothing yet for them to do. */
@@ -48,35 +81,32 @@
   };
 }
 
-interface Node {
+interface Node<C> {
   name: string;
-  controller: Controller | null;
-  scope: Scope | null;
+  controller: C | null;
   clock: NodeClock | null;
-  incoming$: Subject<{ from: string; message: Message }>;
+  incoming$: Subject<{ from: string; message: unknown }>;
 }
 
-/** Something that happens to a controller's process, unless it has ended. */
-export type Via = (fn: () => void) => void;
-
 /** How long users wait for an answer (PROTOCOL). */
 const PATIENCE_MS = { submit: 5000, poll: 2000, cancel: 5000 };
 
-const quiet: Log = {
-  error: () => undefined,
-  warn: () => undefined,
-  info: () => undefined,
-  debug: () => undefined,
-  isLevelEnabled: () => false,
-};
+/** What one log line or call said, for whoever waits for a moment to come. */
+export interface Seen {
+  at: number;
+  node: string;
+  what: string;
+  detail: Record<string, unknown>;
+}
 
 /** Everything around the controllers, in virtual time, with seeded luck. */
-export class World {
+export class World<C extends ControllerPort> {
   readonly clock = new VirtualClock();
   readonly history: Happening[] = [];
-  readonly state: StateService;
-  readonly cloud: CloudService;
-  readonly nodes = new Map<string, Node>();
+  readonly links = new Links();
+  readonly state: VirtualState;
+  readonly cloud: CloudModel;
+  readonly nodes = new Map<string, Node<C>>();
   readonly workers = new Map<string, Worker>();
   readonly specs = new Map<string, JobSpec>();
   readonly runs = new Map<string, number>();
@@ -86,27 +116,36 @@
   readonly errors: string[] = [];
   /** What the controllers logged, without its figures. */
   readonly lines: string[] = [];
-  /** Pairs that cannot reach each other, as `a|b`; what is sent is held. */
-  private readonly cuts = new Set<string>();
-  private held: { cut: string; run: () => void }[] = [];
+  /** Things seen that a plan may wait for. */
+  readonly seen$ = new Subject<Seen>();
+  private readonly saved = new Map<string, number>();
+  private readonly slow = new Map<string, number>();
+  private cloudDown = false;
   private readonly luck;
   private lives = 0;
   fetchMs = 1000;
 
-  constructor(readonly plan: Plan) {
+  constructor(
+    readonly plan: Plan,
+    private readonly spawn: (asked: Spawned) => C,
+  ) {
     this.luck = xoroshiro128plus(plan.seed);
-    this.state = new StateService(this.clock, () => 2 + this.random() * 6, plan.state);
-    this.cloud = new CloudService(this.clock, plan.types, plan.capacity, 3000);
+    this.state = new VirtualState(this.clock, () => 2 + this.random() * 6, plan.state, this.links);
+    this.state.seen = (node, what, detail) => this.seen$.next({ at: this.clock.now(), node, what, detail: { apply: detail } });
+    const { types, capacity, boots } = plan;
+    this.cloud = new CloudModel(this.clock, {
+      types,
+      capacity: new Map(capacity),
+      lagMs: 3000,
+      ...(boots === undefined ? {} : { boots, luck: () => this.random() }),
+    });
     this.cloud.onBoot = (host, offer) => this.boot(host, offer);
     this.cloud.onGone = (host) => {
-      const worker = this.workers.get(host);
-      if (worker === undefined) return;
-      worker.dead = true;
-      worker.killAll("gone");
+      this.workers.get(host)?.die();
       this.workers.delete(host);
     };
     for (let i = 0, name = "nest-0"; i < plan.controllers; name = `nest-${++i}`)
-      this.nodes.set(name, { name, controller: null, scope: null, clock: null, incoming$: new Subject() });
+      this.nodes.set(name, { name, controller: null, clock: null, incoming$: new Subject() });
   }
 
   random(): number {
@@ -117,7 +156,7 @@
     return { cancelMs: 43_000, teams: new Map(this.plan.teams.map((t) => [t.name, { cpus: t.cpus_max, gpus: t.gpus_max }])) };
   }
 
-  private settingsOf(name: string): PlatformSettings {
+  private settingsOf(name: string): Record<string, unknown> {
     return {
       host_name: name,
       area: "a",
@@ -130,7 +169,7 @@
         zones: ["a", "b"],
         clock_off_ms: 1000,
         teams: this.plan.teams,
-        objectives: [],
+        objectives: this.plan.objectives ?? [],
         workers: { report_s: 2.5, lease_s: 18, gang_wait_s: 35, gang_peer_s: 4, cancel_s: 43 },
         state: {
           rps: this.plan.state.rps,
@@ -149,136 +188,143 @@
     const node = this.nodes.get(name)!;
     if (node.controller !== null) return;
     const print = (entry: unknown, text?: string): void => {
-      if (text !== undefined) this.lines.push(text);
+      if (text === undefined) return;
+      this.lines.push(text);
+      this.seen$.next({ at: this.clock.now(), node: name, what: text, detail: entry as Record<string, unknown> });
       if (process.env["SCENARIO_LOG"] !== undefined) console.log((this.clock.now() / 1000).toFixed(2), name, text, JSON.stringify(entry));
     };
-    const log: Log = {
-      ...quiet,
-      info: print,
-      warn: print,
-      debug: print,
-      error: (entry: unknown) => this.errors.push(JSON.stringify(entry)),
-    } as Log;
     const clock = new NodeClock(this.clock);
-    const settings = derive(this.settingsOf(name), checkOperators("operators", {}));
-    const scope = new Scope(new WatchfulClock(clock, settings.timing.stallMs), log);
+    node.clock = clock;
+    // What comes for a life that is over reaches nobody.
     const via: Via = (fn) => {
-      if (!scope.closed) clock.deliver(() => (scope.closed ? undefined : fn()));
+      if (node.clock === clock) clock.deliver(() => (node.clock === clock ? fn() : undefined));
     };
-    const peers: PeerApi = {
-      incoming$: node.incoming$,
-      send: (to, message) => {
-        const sent = (): void => this.via(to)(() => this.nodes.get(to)?.incoming$.next({ from: name, message }));
-        this.carry(name, to, sent, false);
-        return true;
-      },
+    const send = (to: string, message: unknown): boolean => {
+      // Between controllers nothing is held: a connection that stands still is given up.
+      this.carry(name, to, "peer", () => this.via(to)(() => this.nodes.get(to)?.incoming$.next({ from: name, message })), false);
+      return true;
     };
-    node.scope = scope;
-    node.clock = clock;
-    node.controller = new Controller(
-      settings,
-      {
-        state: this.state.client(name, via),
-        cloud: this.cloud.client(name, via),
-        workers: {
-          command: (addr, token, session, orders) => this.command(name, addr, (worker) => worker.command(token, session, orders), via),
+    const cloudRate = new Rate(this.clock, 5, 10);
+    node.controller = this.spawn({
+      platform: this.settingsOf(name),
+      clock,
+      state: this.state.client(name, via),
+      cloud: cloudLink(
+        this.cloud,
+        {
+          clock: this.clock,
+          links: this.links,
+          node: name,
+          via,
+          latencyMs: () => 50,
+          down: () => this.cloudDown,
+          seen: (what, detail) => this.seen$.next({ at: this.clock.now(), node: name, what, detail: { hire: detail } }),
         },
-        peers,
+        () => cloudRate.take(),
+        2000,
+      ),
+      workers: {
+        command: (addr, token, session, orders) => this.command(name, addr, (worker) => worker.command(token, session, orders), via),
+      },
+      peers: { incoming$: node.incoming$, send },
+      log: {
+        info: print,
+        warn: print,
+        debug: print,
+        error: (entry) => void this.errors.push(JSON.stringify(entry)),
       },
-      scope,
-      `life-${++this.lives}`,
-    );
-    node.controller.start();
+      life: `life-${++this.lives}`,
+    });
   }
 
   private via(name: string): Via {
-    const node = this.nodes.get(name);
-    return (fn) => {
-      if (node?.clock !== null && node?.clock !== undefined && node.scope?.closed === false) node.clock.deliver(fn);
-    };
+    return (fn) => this.nodes.get(name)?.clock?.deliver(fn);
   }
 
   /** The process stands still while its clocks run on. */
   freeze(name: string, ms: number): void {
-    const clock = this.nodes.get(name)!.clock!;
-    clock.freeze();
-    this.clock.after(ms, () => clock.thaw());
+    const clock = this.nodes.get(name)!.clock;
+    clock?.freeze();
+    this.clock.after(ms, () => clock?.thaw());
   }
 
   killNode(name: string): void {
     const node = this.nodes.get(name)!;
-    node.scope?.close();
+    node.controller?.close();
     node.controller = null;
-    node.scope = null;
+    node.clock = null;
     node.incoming$ = new Subject();
   }
 
-  cut(a: string, b: string): void {
-    this.cuts.add(`${a}|${b}`);
+  set cloudOutage(on: boolean) {
+    this.cloudDown = on;
   }
 
-  mend(a: string, b: string): void {
-    const cut = `${a}|${b}`;
-    this.cuts.delete(cut);
-    const due = this.held.filter((h) => h.cut === cut);
-    this.held = this.held.filter((h) => h.cut !== cut);
-    for (const { run } of due) run();
-  }
-
-  private cutBetween(a: string, b: string): string | null {
-    for (const cut of [`${a}|${b}`, `${b}|${a}`, `${a}|*`, `${b}|*`, `${a}|workers`, `${b}|workers`]) {
-      if (!this.cuts.has(cut)) continue;
-      if (cut.endsWith("|workers") && !(this.nodes.has(a) !== this.nodes.has(b))) continue;
-      return cut;
-    }
-    return null;
+  /** Times the usual run time that the machine's tasks take from now on. */
+  slow$(host: string, factor: number): void {
+    this.slow.set(host, factor);
+    this.workers.get(host)?.look();
   }
 
   /** Packets arrive in order after a cut ends, even if the sender has given up. */
-  private carry(from: string, to: string, run: () => void, hold = true): void {
-    this.clock.after(0.5 + this.random() * 2, () => {
-      const cut = this.cutBetween(from, to);
-      if (cut === null) run();
-      else if (hold) this.held.push({ cut, run: () => this.clock.after(1, run) });
+  private carry(from: string, to: string, what: string, run: () => void, hold = true): void {
+    const call = { from, to, what };
+    this.clock.after(0.5 + this.random() * 2 + this.links.delayMs(call), () => {
+      if (!hold && this.links.blocked(call)) return;
+      if (hold && this.links.hold(call, () => this.clock.after(1, run))) return;
+      run();
     });
   }
 
   private command(node: string, host: string, act: (worker: Worker) => CommandReply, via: Via): Promise<CommandReply> {
     return new Promise((resolve, reject) => {
-      this.clock.after(2000, () => via(() => reject(new NoReply("unanswered", "timeout"))));
-      this.carry(node, host, () => {
+      const silent = this.clock.after(2000, () => via(() => reject(new NoReply("unanswered", "timeout"))));
+      const execute = (): void => {
         const worker = this.workers.get(host);
         if (worker === undefined || worker.hanging) return;
+        const effect = this.links.judge({ from: node, to: host, what: "command" });
+        if (effect?.kind === "refuse") return;
         const reply = act(worker);
-        this.carry(host, node, () => via(() => resolve(reply)));
-      });
+        if (effect?.kind === "twice") act(worker);
+        if (effect?.kind === "drop") return;
+        this.carry(host, node, "answer", () =>
+          via(() => {
+            silent();
+            resolve(reply);
+          }),
+        );
+      };
+      this.carry(node, host, "command", execute);
     });
   }
 
-  private boot(host: string, offer: { type: string; zone: string; spot: boolean }): void {
+  private boot(host: string, offer: Offer): void {
     const type = this.plan.types.find((t) => t.name === offer.type)!;
     const around: WorkerWorld = {
       clock: this.clock,
       reportMs: 2500,
       leaseMs: 18_000,
       gangPeerMs: 4000,
+      gangWaitMs: 35_000,
       luck: () => this.random(),
       nodes: [...this.nodes.keys()],
       report: (node, from, report) =>
         new Promise<ReportAnswer | null>((resolve) => {
-          this.carry(from, node, () => {
+          this.carry(from, node, "report", () => {
             const target = this.nodes.get(node)?.controller;
             if (target === null || target === undefined) return resolve(null);
             this.via(node)(() => {
-              const answer = target.leader.onReport(report);
-              this.carry(node, from, () => resolve(answer));
+              const answer = target.onReport(report);
+              this.carry(node, from, "answer", () => resolve(answer));
             });
           });
         }),
       spec: (ref) => this.specs.get(ref),
       runMs: (ref) => this.runs.get(ref) ?? 10_000,
       fetchMs: () => this.fetchMs,
+      slowness: (name) => this.slow.get(name) ?? 1,
       sick: (name, ref) => this.sickHosts.has(name) || this.mistaken.has(ref),
+      saved: this.saved,
       on: (worker, piece) => this.history.push({ at: this.clock.now(), kind: "on", piece, host: worker.host, ...worker.offer }),
       off: (worker, piece, cause) => this.history.push({ at: this.clock.now(), kind: "off", piece, host: worker.host, cause }),
       mates: (ref, attempt) =>
@@ -291,20 +337,20 @@
 
   // ---- users
 
-  private target(name?: string): Node | null {
+  private target(name?: string): Node<C> | null {
     const up = [...this.nodes.values()].filter((n) => n.controller !== null);
     if (name !== undefined) return this.nodes.get(name)!;
     return up.length === 0 ? null : up[Math.floor(this.random() * up.length)]!;
   }
 
   /** A user's request; undefined: no answer came while the user waited. */
-  private ask(kind: RequestKind, body: unknown, name?: string): Promise<Response | undefined> {
+  private ask(kind: RequestKind, body: unknown, name?: string): Promise<Answer | undefined> {
     const node = this.target(name);
     const controller = node?.controller;
     if (node === null || controller === null || controller === undefined) return Promise.resolve(undefined);
     return new Promise((resolve) => {
       this.clock.after(PATIENCE_MS[kind], () => resolve(undefined));
-      this.via(node.name)(() => void controller.relay.answer(kind, body).then(resolve));
+      this.via(node.name)(() => void controller.answer(kind, body).then(resolve));
     });
   }
 
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -62,6 +62,7 @@
   private floor: number;
   private lookedAt: number;
   private closed = false;
+  private suspended = false;
   readonly stats = { groups: 0, changes: 0, conflicts: 0, refused: 0, failures: 0 };
   /** A write has failed, and whether it turned out to be stored all the same. */
   onTrouble: (what: string, error: Error) => void = () => undefined;
@@ -89,6 +90,26 @@
     return new Store(engine, clock, limits, new Core(meta, (key) => engine.get(key), clock.now()), meta);
   }
 
+  /** On an engine that holds nothing yet. */
+  static fresh(engine: Engine, clock: StoreClock, limits: StoreLimits): Store {
+    const nothing = { ledger: 0, floor: 0, permitCount: 0, permits: [], revisions: [] };
+    return new Store(engine, clock, limits, new Core(nothing, (key) => engine.get(key), clock.now()), nothing);
+  }
+
+  /** Takes nothing for a while: 503 to all that is asked, watches stay open, leases have their full time again afterwards. */
+  suspend(on: boolean): void {
+    this.suspended = on;
+    this.core.refreshLeases(this.clock.now());
+  }
+
+  /** As when the process ends: nothing is answered any more, and what was not durable is not. */
+  abandon(): void {
+    this.closed = true;
+    this.waiting = [];
+    this.group = [];
+    this.watches.clear();
+  }
+
   /** The newest revision that is durable. */
   get ledger(): number {
     return this.durable;
@@ -108,6 +129,7 @@
 
   private admit(changes = 0): void {
     if (this.closed) throw new NoReply("refused", "the service is ending");
+    if (this.suspended) throw new NoReply("refused", "the service is suspended");
     if (!this.requests.take() || !this.writes.take(changes)) throw new OverRate();
     if (this.broken !== null) throw new NoReply("refused", `storage: ${this.broken.message}`);
   }
@@ -311,7 +333,7 @@
     const now = this.clock.now();
     const away = now - this.lookedAt > LEASE_LOOK_MS * AWAY_LOOKS;
     this.lookedAt = now;
-    if (away || this.broken !== null) this.core.refreshLeases(now);
+    if (away || this.suspended || this.broken !== null) this.core.refreshLeases(now);
     else if (this.core.due(now).length > 0) {
       const over = this.core.due(now);
       this.waiting.push({
@@ -327,11 +349,6 @@
     this.clock.after(LEASE_LOOK_MS, () => this.look());
   }
 
-  /** An outage that the service was told of is over: every lease has its full time again. */
-  refreshLeases(): void {
-    this.core.refreshLeases(this.clock.now());
-  }
-
   async close(): Promise<void> {
     this.closed = true;
     for (const watch of [...this.watches]) watch.settle([]);
--- /dev/null
+++ b/src/rehearsal/spawn.ts
@@ -0,0 +1,26 @@
+import type { Spawned } from "@thorntrail/emulator/entry";
+import { Controller } from "../controller.js";
+import type { PeerApi } from "../peers/links.js";
+import type { Log } from "../platform/log.js";
+import { Scope } from "../platform/scope.js";
+import { WatchfulClock } from "../platform/stall.js";
+import { derive } from "../settings/derived.js";
+import { checkOperators } from "../settings/operators.js";
+import { checkPlatform } from "../settings/platform-file.js";
+
+/** This very controller, in the time and among the services of a rehearsal. */
+export function spawnController(asked: Spawned) {
+  const settings = derive(checkPlatform("rehearsal", asked.platform), checkOperators("rehearsal", {}));
+  const log = { ...asked.log, isLevelEnabled: () => false } as unknown as Log;
+  const scope = new Scope(new WatchfulClock(asked.clock, settings.timing.stallMs), log);
+  const { state, cloud, workers } = asked;
+  const controller = new Controller(settings, { state, cloud, workers, peers: asked.peers as unknown as PeerApi }, scope, asked.life);
+  controller.start();
+  return Object.assign(controller, {
+    onReport: controller.leader.onReport.bind(controller.leader),
+    answer: controller.relay.answer.bind(controller.relay),
+    close: () => scope.close(),
+  });
+}
+
+export type Rehearsed = ReturnType<typeof spawnController>;
--- a/src/settings/platform-file.ts
+++ b/src/settings/platform-file.ts
@@ -76,6 +76,10 @@
   } catch (error) {
     throw new SettingsError(`${file}: not TOML: ${(error as Error).message.split("\n")[0]}`);
   }
+  return checkPlatform(file, raw);
+}
+
+export function checkPlatform(file: string, raw: unknown): PlatformSettings {
   const result = schema.safeParse(raw);
   if (!result.success) throw new SettingsError(describeIssues(file, result.error));
   return result.data;
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { JobSpec } from "@thorntrail/protocol/jobs";
-import { brokenRules, type Happening, type Limits } from "./world/checker.js";
+import { brokenRules, type Happening, type Limits } from "@thorntrail/emulator/checker";
 import { specOf } from "./world/parts.js";
 
 // The checker must be able to fail: each rule has a history that breaks it and nothing else.
--- a/test/committer.test.ts
+++ b/test/committer.test.ts
@@ -4,14 +4,14 @@
 import { Mirror } from "../src/ledger/mirror.js";
 import { Rate } from "@thorntrail/protocol/rate";
 import { Scope } from "../src/platform/scope.js";
-import { StateService } from "./world/state-service.js";
-import { VirtualClock } from "./world/virtual-clock.js";
+import { VirtualState } from "@thorntrail/emulator/virtual/service-links";
+import { VirtualClock } from "@thorntrail/emulator/virtual/clock";
 
 const quiet = { error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined, isLevelEnabled: () => false };
 
 async function place() {
   const clock = new VirtualClock();
-  const service = new StateService(clock, () => latency.ms, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
+  const service = new VirtualState(clock, () => latency.ms, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
   const latency = { ms: 2 };
   const client = service.client("n", (fn) => fn());
   const rate = new Rate(clock, 100);
--- a/test/mirror.test.ts
+++ b/test/mirror.test.ts
@@ -2,12 +2,12 @@
 import { test } from "node:test";
 import { Mirror } from "../src/ledger/mirror.js";
 import { Rate } from "@thorntrail/protocol/rate";
-import { StateService } from "./world/state-service.js";
-import { VirtualClock } from "./world/virtual-clock.js";
+import { VirtualState } from "@thorntrail/emulator/virtual/service-links";
+import { VirtualClock } from "@thorntrail/emulator/virtual/clock";
 
 test("a read asked for later is never answered with one that began earlier", async () => {
   const clock = new VirtualClock();
-  const service = new StateService(clock, () => 5, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
+  const service = new VirtualState(clock, () => 5, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
   const client = service.client("n", (fn) => fn());
   const mirror = new Mirror(client, clock, new Rate(clock, 1000), { readGapMs: 0, blockMs: 1000 });
   void mirror.fresh();
--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { readdirSync, readFileSync } from "node:fs";
 import { test } from "node:test";
-import { brokenRules } from "./world/checker.js";
+import { brokenRules } from "@thorntrail/emulator/checker";
 import { playScenario } from "./world/scenario.js";
 
 for (const file of readdirSync("test/scenarios").sort()) {
--- a/test/stall.test.ts
+++ b/test/stall.test.ts
@@ -8,8 +8,9 @@
 import { HttpClient } from "../src/platform/http.js";
 import { WatchfulClock } from "../src/platform/stall.js";
 import { newMachine } from "../src/workers/machine.js";
-import { VirtualClock } from "./world/virtual-clock.js";
-import { plainPlan, World } from "./world/world.js";
+import { VirtualClock } from "@thorntrail/emulator/virtual/clock";
+import { plainPlan, World } from "@thorntrail/emulator/entry";
+import { spawnController } from "../src/rehearsal/spawn.js";
 
 test("whoever asks the time first after a stall makes it known before going on", async () => {
   const world = new VirtualClock();
@@ -73,7 +74,7 @@
 });
 
 test("a leader that wakes is silent until it has read what happened meanwhile", async () => {
-  const world = new World(plainPlan());
+  const world = new World(plainPlan(), spawnController);
   for (const name of world.nodes.keys()) world.startNode(name);
   await world.clock.run(5000);
   const { leader } = world.nodes.get("nest-0")!.controller!;
--- a/test/world/mirror.ts
+++ b/test/world/mirror.ts
@@ -1,12 +1,12 @@
 import { Mirror } from "../../src/ledger/mirror.js";
 import { Rate } from "@thorntrail/protocol/rate";
-import { StateService } from "./state-service.js";
-import { VirtualClock } from "./virtual-clock.js";
+import { VirtualState } from "@thorntrail/emulator/virtual/service-links";
+import { VirtualClock } from "@thorntrail/emulator/virtual/clock";
 
 /** A mirror that nothing keeps up: tests put into it what it should hold. */
 export function mirrorByHand(): Mirror {
   const clock = new VirtualClock();
-  const state = new StateService(clock, () => 2, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
+  const state = new VirtualState(clock, () => 2, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
   const client = state.client("n", (fn) => fn());
   return new Mirror(client, clock, new Rate(clock, 100), { readGapMs: 10, blockMs: 500 });
 }
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -1,6 +1,9 @@
 import type { JobKind, JobSpec, Urgency } from "@thorntrail/protocol/jobs";
 import { keys, type SliceRecord } from "../../src/ledger/records.js";
-import { plainPlan, World, type Plan } from "./world.js";
+import { plainPlan, World as AnyWorld, type Plan } from "@thorntrail/emulator/entry";
+import { spawnController, type Rehearsed } from "../../src/rehearsal/spawn.js";
+
+type World = AnyWorld<Rehearsed>;
 
 /**
  * Scenario files: one sentence a line. `given` lines describe the place, `at N`
@@ -132,7 +135,7 @@
 
 export async function playScenario(text: string): Promise<{ world: World; failures: string[] }> {
   const { plan, steps } = parse(text);
-  const world = new World(plan);
+  const world = new AnyWorld(plan, spawnController);
   const failures: string[] = [];
   for (const name of world.nodes.keys()) world.startNode(name);
   for (const step of steps) {
@@ -197,43 +200,22 @@
       // cut X from Y for N: packets are held and delivered when it ends.
       const node = nodeNamed(a);
       const forMs = Number(step.words[step.words.indexOf("for") + 1]) * 1000;
-      const from = c;
-      if (from === "state") {
-        world.state.weatherOf(node).cut = true;
-        world.clock.after(forMs, () => world.state.endCut(node));
-        return;
-      }
-      if (from === "cloud") {
-        world.cloud.cuts.add(node);
-        world.clock.after(forMs, () => world.cloud.endCut(node));
-        return;
-      }
-      if (from === "workers") {
-        world.cut(node, "workers");
-        world.clock.after(forMs, () => world.mend(node, "workers"));
-        return;
-      }
+      const others: Record<string, string> = { state: "state", cloud: "cloud", workers: "workers", all: "*" };
+      const other = others[c] ?? nodeNamed(c);
       const sides = a.startsWith("hosts-of:") ? hostsOf(world, a.slice("hosts-of:".length)) : [node];
-      for (const side of sides) {
-        const other = from === "all" ? "*" : nodeNamed(from);
-        world.cut(side, other);
-        world.clock.after(forMs, () => world.mend(side, other));
-      }
+      for (const side of sides) world.clock.after(forMs, world.links.add({ from: side, to: other, effect: { kind: "cut" } }));
       return;
     }
-    case "refuse": {
-      const node = nodeNamed(a);
-      world.state.weatherOf(node).refused = true;
-      world.clock.after(Number(c) * 1000, () => (world.state.weatherOf(node).refused = false));
+    case "refuse":
+      world.clock.after(Number(c) * 1000, world.links.add({ from: nodeNamed(a), to: "state", effect: { kind: "refuse" } }));
       return;
-    }
     case "outage":
       if (a === "state") {
         world.state.outage = true;
         world.clock.after(Number(c) * 1000, () => world.state.endOutage());
       } else {
-        world.cloud.outage = true;
-        world.clock.after(Number(c) * 1000, () => (world.cloud.outage = false));
+        world.cloudOutage = true;
+        world.clock.after(Number(c) * 1000, () => (world.cloudOutage = false));
       }
       return;
     case "limit": {
@@ -243,13 +225,19 @@
       return;
     }
     case "lose-replies":
-      world.state.weatherOf(nodeNamed(a)).loseReplies = Number(b);
+      world.links.add({ from: nodeNamed(a), to: "state", what: "txn", effect: { kind: "drop" }, count: Number(b) });
       return;
     case "late-transactions":
-      world.state.weatherOf(nodeNamed(a)).late = { count: Number(b), ms: Number(step.words[4]) * 1000 };
+      world.links.add({
+        from: nodeNamed(a),
+        to: "state",
+        what: "txn",
+        effect: { kind: "late", ms: Number(step.words[4]) * 1000 },
+        count: Number(b),
+      });
       return;
     case "late-hires":
-      world.cloud.lateHires = { count: Number(a), ms: Number(c) * 1000 };
+      world.links.add({ from: "*", to: "cloud", what: "hire", effect: { kind: "late", ms: Number(c) * 1000 }, count: Number(a) });
       return;
     case "take":
       for (const host of hostsOf(world, a).slice(0, Number(b ?? 1))) world.cloud.remove(host);
@@ -293,7 +281,7 @@
       }
       return;
     case "notice":
-      for (const host of hostsOf(world, a)) world.workers.get(host)!.notice = Number(b);
+      for (const host of hostsOf(world, a)) world.workers.get(host)!.warn(Number(b));
       return;
     case "sicken":
       for (const host of hostsOf(world, a).slice(0, 1)) world.sickHosts.add(host);
@@ -318,7 +306,7 @@
     if (!ok) failures.push(`${step.line}: saw ${String(saw)}`);
   };
   if (subject === "machines") {
-    const n = [...world.cloud.machines.values()].filter((m) => m.goneAt === null).length;
+    const n = world.cloud.rented;
     return check(what === "at-most" ? n <= Number(c) : n === Number(what), n);
   }
   if (subject === "parts") {
