npm run demo: a cluster on this machine through a lost controller and a lost machine

Need: whoever clones the repository could build and test it, but not start it.

Faults are a typed vocabulary carried out on a stage; plans are HCL. The demo plays deploy/demo.hcl.

--- /dev/null
+++ b/packages/emulator/src/commands.ts
@@ -0,0 +1,104 @@
+import { writeFileSync } from "node:fs";
+import { BRISK, USUAL } from "./place.js";
+import { loadPlan } from "./plan.js";
+import { playReal } from "./real/play.js";
+import { table, type Report } from "./report.js";
+
+/** A rehearsal that could not be carried out, or did not go well. */
+export class CommandFailed extends Error {}
+
+/** Lines on a terminal overwrite each other; elsewhere only what is worth keeping is said. */
+function teller(): { say: (text: string) => void; end: () => void } {
+  const live = process.stderr.isTTY === true;
+  let shown = false;
+  return {
+    say: (text) => {
+      if (live) process.stderr.write(`\r\x1b[K${text}`);
+      else process.stderr.write(`${text}\n`);
+      shown = live;
+    },
+    end: () => {
+      if (shown) process.stderr.write("\n");
+    },
+  };
+}
+
+/** Aborted by Ctrl-C or a request to end; a second one ends at once. */
+function interruptible(): AbortController {
+  const stop = new AbortController();
+  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"] as const) {
+    process.once(signal, () => {
+      stop.abort();
+      setTimeout(() => process.exit(130), 500).unref();
+    });
+  }
+  return stop;
+}
+
+const good = (report: Report): boolean => report.broken.length === 0 && report.jobs.unfinished.length === 0;
+
+/** `npm run demo`: everything on this machine, from nothing, within a minute. */
+export async function demo(options: { plan: string; program: string[]; seed: number }): Promise<void> {
+  const plan = await loadPlan(options.plan);
+  const { say, end } = teller();
+  const stop = interruptible();
+  const report = await playReal({
+    program: options.program,
+    plan,
+    timing: BRISK,
+    seed: options.seed,
+    progress: say,
+    patienceMs: 20_000,
+    stop: stop.signal,
+  });
+  end();
+  if (stop.signal.aborted) {
+    process.exitCode = 130;
+    return;
+  }
+  process.stdout.write(`${table(report)}\n`);
+  for (const { at, kind, met } of report.faults) process.stdout.write(`at ${at.toFixed(0)} s: ${kind} ${met.join(", ")}\n`);
+  for (const line of [...report.broken, ...report.trouble]) process.stdout.write(`${line}\n`);
+  const { done, submitted, unfinished } = report.jobs;
+  if (unfinished.length > 0) process.stdout.write(`not over: ${unfinished.join(", ")}\n`);
+  process.stdout.write(`demo: ${done} jobs done, ${report.broken.length} rules broken, ${report.takeovers} takeovers\n`);
+  const asPlanned = report.faults.length === plan.fault.length && report.faults.every(({ met }) => met.length > 0) && report.takeovers > 0;
+  if (!good(report) || done !== submitted || !asPlanned || report.trouble.some((line) => line.startsWith("ended"))) process.exitCode = 4;
+}
+
+/** `thorntrail rehearse` on real processes. */
+export async function rehearseReal(options: {
+  plan: string;
+  program: string[];
+  seed: number | undefined;
+  report: string | undefined;
+}): Promise<void> {
+  const plan = await loadPlan(options.plan);
+  const { say, end } = teller();
+  const stop = interruptible();
+  const seed = options.seed ?? plan.seed;
+  const report = await playReal({
+    program: options.program,
+    plan,
+    timing: USUAL,
+    seed,
+    progress: say,
+    patienceMs: plan.settle * 1000,
+    stop: stop.signal,
+  });
+  end();
+  if (stop.signal.aborted) throw new CommandFailed("interrupted; nothing was left behind");
+  finish(report, options.report);
+}
+
+/** Writes the report, says what came of it, and fails if a rule broke or work was left. */
+export function finish(report: Report, file: string | undefined): void {
+  if (file !== undefined) writeFileSync(file, `${JSON.stringify(report, null, 2)}\n`);
+  process.stdout.write(`${table(report)}\n`);
+  for (const line of [...report.broken, ...report.trouble]) process.stdout.write(`${line}\n`);
+  const { done, withdrawn, unfinished } = report.jobs;
+  process.stdout.write(
+    `${report.plan}: ${done} jobs done, ${withdrawn} withdrawn, ${unfinished.length} unfinished, ${report.broken.length} rules broken, ${report.takeovers} takeovers\n`,
+  );
+  if (!good(report)) process.exitCode = 4;
+}
--- a/packages/emulator/src/entry.ts
+++ b/packages/emulator/src/entry.ts
@@ -1,1 +1,2 @@
 export { World, plainPlan, type ControllerPort, type Plan, type Spawned } from "./virtual/world.js";
+export { CommandFailed, demo, finish, rehearseReal } from "./commands.js";
--- /dev/null
+++ b/packages/emulator/src/faults.ts
@@ -0,0 +1,198 @@
+import { z } from "zod";
+import type { RuleAsked } from "./links.js";
+
+/**
+ * The vocabulary of faults, the same by command, by plan and drawn by seed, for real
+ * processes and in virtual time. Targets: controllers by name, `leader` (of the most
+ * machines) or `all`; machines by name, `busiest`, or `any`.
+ */
+const seconds = z.number().finite().min(0).max(3600);
+const lasting = { for: seconds.default(10) };
+const node = z.string().min(1).default("leader");
+const machine = z.string().min(1).default("busiest");
+const count = z.number().int().min(1).max(1000);
+const service = z.enum(["state", "cloud"]);
+
+export const faultSchema = z.discriminatedUnion("kind", [
+  /** The controller's process ends without warning and starts again. */
+  z.strictObject({ kind: z.literal("restart"), target: node, for: seconds.default(6) }),
+  /** The controller's process stands still while its clocks run on. */
+  z.strictObject({ kind: z.literal("freeze"), target: node, ...lasting }),
+  /** The state service ends, between whatever it was doing, and starts again on its data. */
+  z.strictObject({ kind: z.literal("restart-store"), for: seconds.default(2) }),
+  /** A service answers 503 to everybody. */
+  z.strictObject({ kind: z.literal("outage"), of: service, ...lasting }),
+  /** A service answers 503 to one controller. */
+  z.strictObject({ kind: z.literal("refuse"), target: node, by: service, ...lasting }),
+  /** Packets between the controller and others are held, and delivered when it is over. */
+  z.strictObject({ kind: z.literal("cut"), target: node, from: z.enum(["state", "cloud", "workers", "controllers", "all"]), ...lasting }),
+  z.strictObject({
+    kind: z.literal("delay"),
+    target: node,
+    to: z.enum(["state", "cloud", "workers"]),
+    ms: z.number().min(1).max(10_000),
+    ...lasting,
+  }),
+  /** So many requests are executed, and their answers lost. */
+  z.strictObject({ kind: z.literal("drop"), target: node, by: service, what: z.string().default("*"), count: count.default(1) }),
+  /** So many requests are executed later, when whoever asked has given up. */
+  z.strictObject({
+    kind: z.literal("late"),
+    target: node,
+    by: service,
+    what: z.string().default("*"),
+    count: count.default(1),
+    ms: z.number().min(1).max(120_000),
+  }),
+  z.strictObject({ kind: z.literal("twice"), target: node, by: service, what: z.string().default("*"), count: count.default(1) }),
+  /** Executed and answered wrongly: cut short, a list older than the last, a machine listed that is gone, an answer to another request, 5xx. */
+  z.strictObject({
+    kind: z.literal("wrong"),
+    target: node,
+    by: service,
+    what: z.string().default("*"),
+    form: z.enum(["cut-short", "older", "ghost", "other", "error-after"]),
+    count: count.default(1),
+  }),
+  /** The state service's limits are lower from now on, without notice. */
+  z.strictObject({
+    kind: z.literal("limits"),
+    writes: z.number().positive().optional(),
+    value_kb: z.number().positive().optional(),
+    changes: z.number().int().min(4).optional(),
+  }),
+  /** The machine is gone, without notice. */
+  z.strictObject({ kind: z.literal("lose"), target: machine, count: count.default(1) }),
+  /** The cloud says that it takes the machine, and does. */
+  z.strictObject({ kind: z.literal("take"), target: machine, notice: seconds.default(20) }),
+  /** It stops by itself, and stays listed as failed. */
+  z.strictObject({ kind: z.literal("fail"), target: machine }),
+  z.strictObject({ kind: z.literal("hang"), target: machine, ...lasting }),
+  z.strictObject({ kind: z.literal("slow"), target: machine, factor: z.number().min(1).max(100).default(4) }),
+  /** Fails every task that it starts. */
+  z.strictObject({ kind: z.literal("sick"), target: machine }),
+  z.strictObject({ kind: z.literal("cut-machine"), target: machine, ...lasting }),
+]);
+export type Fault = z.infer<typeof faultSchema>;
+export type FaultKind = Fault["kind"];
+
+export const FAULT_KINDS = faultSchema.options.map((option) => option.shape.kind.value);
+
+/** A fault from whoever asks, or what is wrong with it and what was expected. */
+export function decodeFault(raw: unknown): { fault: Fault } | { wrong: string } {
+  const kind = (raw as { kind?: unknown } | null)?.kind;
+  if (!FAULT_KINDS.includes(kind as FaultKind)) return { wrong: `kind: expected one of ${FAULT_KINDS.join(", ")}` };
+  const parsed = faultSchema.safeParse(raw);
+  if (parsed.success) return { fault: parsed.data };
+  return { wrong: parsed.error.issues.map((issue) => `${issue.path.join(".") || String(kind)}: ${issue.message}`).join("; ") };
+}
+
+/** What faults are carried out on: the world in virtual time, or real processes. Times in ms. */
+export interface Stage {
+  after(ms: number, fn: () => void): void;
+  controllers(): string[];
+  /** The controller that leads the most machines, as far as can be seen from outside. */
+  leader(): string;
+  /** Machines that are up, the busiest first. */
+  machines(): string[];
+  restart(controller: string, awayMs: number): void;
+  freeze(controller: string, ms: number): void;
+  restartStore(awayMs: number): void;
+  /** `on` false: it is over, and leases have their full time again. */
+  outage(of: "state" | "cloud", on: boolean): void;
+  /** Returns what ends the rule. */
+  rule(asked: RuleAsked): () => void;
+  limits(limits: { writeRps?: number; valueKb?: number; txnOps?: number }): void;
+  lose(machine: string): void;
+  warn(machine: string, seconds: number): void;
+  fail(machine: string): void;
+  hang(machine: string, on: boolean): void;
+  slow(machine: string, factor: number): void;
+  sicken(machine: string): void;
+}
+
+function controllersOf(stage: Stage, target: string): string[] {
+  if (target === "all") return stage.controllers();
+  return [target === "leader" ? stage.leader() : target];
+}
+
+function machinesOf(stage: Stage, target: string, most = 1): string[] {
+  const up = stage.machines();
+  if (target === "busiest" || target === "any") return up.slice(0, most);
+  return up.filter((name) => name === target);
+}
+
+/** Carries the fault out; says whom it met. An empty list: there was nobody to meet. */
+export function carryOut(stage: Stage, fault: Fault): string[] {
+  const until = (seconds: number, end: () => void): void => stage.after(seconds * 1000, end);
+  const each = (names: string[], act: (name: string) => void): string[] => {
+    for (const name of names) act(name);
+    return names;
+  };
+  switch (fault.kind) {
+    case "restart":
+      return each(controllersOf(stage, fault.target), (name) => stage.restart(name, fault.for * 1000));
+    case "freeze":
+      return each(controllersOf(stage, fault.target), (name) => stage.freeze(name, fault.for * 1000));
+    case "restart-store":
+      stage.restartStore(fault.for * 1000);
+      return ["state"];
+    case "outage":
+      stage.outage(fault.of, true);
+      until(fault.for, () => stage.outage(fault.of, false));
+      return [fault.of];
+    case "refuse":
+      return each(controllersOf(stage, fault.target), (from) =>
+        until(fault.for, stage.rule({ from, to: fault.by, effect: { kind: "refuse" } })),
+      );
+    case "cut":
+      return each(controllersOf(stage, fault.target), (from) =>
+        until(fault.for, stage.rule({ from, to: fault.from === "all" ? "*" : fault.from, effect: { kind: "cut" } })),
+      );
+    case "delay":
+      return each(controllersOf(stage, fault.target), (from) =>
+        until(fault.for, stage.rule({ from, to: fault.to, effect: { kind: "delay", ms: fault.ms } })),
+      );
+    case "drop":
+    case "twice":
+    case "late":
+    case "wrong": {
+      const effect =
+        fault.kind === "late"
+          ? { kind: fault.kind, ms: fault.ms }
+          : fault.kind === "wrong"
+            ? { kind: fault.kind, form: fault.form }
+            : { kind: fault.kind };
+      return each(controllersOf(stage, fault.target), (from) =>
+        stage.rule({ from, to: fault.by, what: fault.what, effect, count: fault.count }),
+      );
+    }
+    case "limits":
+      stage.limits({
+        ...(fault.writes === undefined ? {} : { writeRps: fault.writes }),
+        ...(fault.value_kb === undefined ? {} : { valueKb: fault.value_kb }),
+        ...(fault.changes === undefined ? {} : { txnOps: fault.changes }),
+      });
+      return ["state"];
+    case "lose":
+      return each(machinesOf(stage, fault.target, fault.count), (name) => stage.lose(name));
+    case "take":
+      return each(machinesOf(stage, fault.target), (name) => {
+        stage.warn(name, fault.notice);
+        until(fault.notice, () => stage.lose(name));
+      });
+    case "fail":
+      return each(machinesOf(stage, fault.target), (name) => stage.fail(name));
+    case "hang":
+      return each(machinesOf(stage, fault.target), (name) => {
+        stage.hang(name, true);
+        until(fault.for, () => stage.hang(name, false));
+      });
+    case "slow":
+      return each(machinesOf(stage, fault.target), (name) => stage.slow(name, fault.factor));
+    case "sick":
+      return each(machinesOf(stage, fault.target), (name) => stage.sicken(name));
+    case "cut-machine":
+      return each(machinesOf(stage, fault.target), (from) => until(fault.for, stage.rule({ from, to: "*", effect: { kind: "cut" } })));
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/place.ts
@@ -0,0 +1,72 @@
+import type { MachineType } from "@thorntrail/protocol/cloud";
+import type { RehearsalPlan } from "./plan.js";
+
+/** The times of a place, in ms; what a plan does not say. */
+export interface Timing {
+  reportMs: number;
+  leaseMs: number;
+  gangWaitMs: number;
+  gangPeerMs: number;
+  cancelMs: number;
+  listLagMs: number;
+  cloudRps: number;
+}
+
+/** As the users' own sites have them. */
+export const USUAL: Timing = {
+  reportMs: 2500,
+  leaseMs: 18_000,
+  gangWaitMs: 35_000,
+  gangPeerMs: 4000,
+  cancelMs: 43_000,
+  listLagMs: 3000,
+  cloudRps: 5,
+};
+
+/** Everything faster, for a rehearsal that a newcomer waits for. */
+export const BRISK: Timing = {
+  ...USUAL,
+  reportMs: 1000,
+  leaseMs: 6000,
+  gangWaitMs: 12_000,
+  gangPeerMs: 2000,
+  cancelMs: 15_000,
+  listLagMs: 1000,
+  cloudRps: 10,
+};
+
+/** The plan as the platform's settings say it, and as the cloud has it. */
+export function platformOf(
+  plan: RehearsalPlan,
+  timing: Timing,
+): { deployment: Record<string, unknown>; types: MachineType[]; capacity: Map<string, number> } {
+  const capacity = new Map<string, number>();
+  const types = plan.machine.map((one): MachineType => {
+    for (const zone of one.zones) {
+      capacity.set(`${one.name}/${zone}/ordinary`, one.count);
+      capacity.set(`${one.name}/${zone}/spot`, one.spot);
+    }
+    const { name, cpus, gpus, ram, price, boot, zones } = one;
+    return { name, cpus, gpus, ram, cacheGb: 100, fetchGbPerS: 1, price, spotPrice: one.spot_price, bootS: boot, zones };
+  });
+  const deployment = {
+    size: plan.controllers,
+    zones: [...new Set(plan.machine.flatMap((one) => one.zones))],
+    clock_off_ms: 1000,
+    teams: plan.team.map(({ name, cpus, most_cpus, gpus, most_gpus }) => ({ name, cpus, cpus_max: most_cpus, gpus, gpus_max: most_gpus })),
+    objectives: plan.work
+      .filter((one) => one.deadline !== undefined)
+      .map((one) => ({ kind: "finished", class: one.name, within_s: one.deadline!, share: 0.95 })),
+    workers: {
+      report_s: timing.reportMs / 1000,
+      lease_s: timing.leaseMs / 1000,
+      gang_wait_s: timing.gangWaitMs / 1000,
+      gang_peer_s: timing.gangPeerMs / 1000,
+      cancel_s: timing.cancelMs / 1000,
+    },
+    state: { rps: plan.state.rps, write_rps: plan.state.writes, value_kb: plan.state.value_kb, txn_ops: plan.state.changes },
+    cloud: { rps: timing.cloudRps, list_lag_s: timing.listLagMs / 1000 },
+    quota: { core_share: 0.3, mem_mb: 178, sockets: 1500 },
+  };
+  return { deployment, types, capacity };
+}
--- /dev/null
+++ b/packages/emulator/src/plan.ts
@@ -0,0 +1,190 @@
+import type { JobSpec } from "@thorntrail/protocol/jobs";
+import { loadHcl, parseHcl } from "@thorntrail/store/settings";
+import { z } from "zod";
+import { faultSchema } from "./faults.js";
+
+/** Plan files: a place, what comes to it, and what goes wrong there. */
+const amount = z.number().finite().min(0);
+const positive = z.number().finite().positive();
+const name = z.string().min(1).max(100);
+
+export const MOMENTS = [
+  "submission",
+  "first-placement",
+  "fencing",
+  "handing-over",
+  "cession",
+  "done-before-clear",
+  "rental-in-flight",
+  "pipeline-release",
+] as const;
+export type Moment = (typeof MOMENTS)[number];
+
+const machine = z.strictObject({
+  name,
+  cpus: positive,
+  gpus: amount.default(0),
+  ram: positive,
+  price: positive.default(1),
+  spot_price: positive.default(0.3),
+  boot: positive.default(5),
+  count: z.number().int().min(0).max(10_000),
+  spot: z.number().int().min(0).max(10_000).default(0),
+  zones: z.array(name).min(1).default(["a"]),
+});
+
+const work = z.strictObject({
+  name,
+  team: name,
+  shape: z.enum(["array", "gang", "service"]).default("array"),
+  urgency: z.enum(["critical", "urgent", "normal", "low"]).default("normal"),
+  tasks: z.number().int().min(1).max(100_000).default(1),
+  cpus: positive,
+  gpus: amount.default(0),
+  ram: positive.default(1),
+  run: positive,
+  saves: amount.default(0),
+  flush: amount.default(1),
+  spot: z.boolean().default(false),
+  one_zone: z.boolean().default(false),
+  image_gb: amount.default(1),
+  /** From its submission, in seconds. */
+  deadline: positive.optional(),
+  /** Seconds from one to the next; the first comes at `from`. */
+  every: positive,
+  from: amount.default(0),
+  jobs: z.number().int().min(1).max(10_000),
+  /** Each waits for the job of this name that came with the same turn. */
+  after: name.optional(),
+  /** Each so many seconds after its submission is cancelled. */
+  cancelled_after: positive.optional(),
+});
+
+const timed = z.object({ at: amount.optional(), moment: z.enum(MOMENTS).optional() }).loose();
+const fault = timed.transform((raw, context) => {
+  const { at, moment, ...rest } = raw;
+  if ((at === undefined) === (moment === undefined)) {
+    context.addIssue({ code: "custom", message: "expected either at (seconds) or moment" });
+    return z.NEVER;
+  }
+  const parsed = faultSchema.safeParse(rest);
+  if (!parsed.success) {
+    for (const issue of parsed.error.issues)
+      context.addIssue({ code: "custom", message: issue.message, path: issue.path as (string | number)[] });
+    return z.NEVER;
+  }
+  return { ...(at === undefined ? { moment: moment! } : { at }), fault: parsed.data };
+});
+
+export const planSchema = z
+  .strictObject({
+    name: name.default("rehearsal"),
+    seconds: positive.max(3600),
+    controllers: z.number().int().min(1).max(9).default(3),
+    seed: z.number().int().min(0).default(1),
+    /** Recovered: everything that was submitted before is done, or runs, by then. */
+    settle: amount.default(60),
+    state: z
+      .strictObject({
+        rps: positive.default(150),
+        writes: positive.default(50),
+        value_kb: positive.default(32),
+        changes: z.number().int().min(4).default(16),
+      })
+      .prefault({}),
+    boots: z.strictObject({ never: amount.max(1).default(0), slow: amount.max(1).default(0), early: amount.max(1).default(0) }).optional(),
+    team: z
+      .array(
+        z.strictObject({
+          name,
+          cpus: amount.default(0),
+          most_cpus: amount.default(0),
+          gpus: amount.default(0),
+          most_gpus: amount.default(0),
+        }),
+      )
+      .min(1),
+    machine: z.array(machine).min(1),
+    work: z.array(work).min(1),
+    fault: z.array(fault).default([]),
+  })
+  .superRefine((plan, context) => {
+    const teams = new Set(plan.team.map((team) => team.name));
+    const works = new Set(plan.work.map((one) => one.name));
+    plan.work.forEach((one, i) => {
+      if (!teams.has(one.team))
+        context.addIssue({ code: "custom", path: ["work", i, "team"], message: `expected one of ${[...teams].join(", ")}` });
+      if (one.after !== undefined && (!works.has(one.after) || one.after === one.name))
+        context.addIssue({
+          code: "custom",
+          path: ["work", i, "after"],
+          message: `expected the name of other work: ${[...works].join(", ")}`,
+        });
+    });
+  });
+export type RehearsalPlan = z.infer<typeof planSchema>;
+export type PlannedFault = RehearsalPlan["fault"][number];
+
+const LISTS = ["team", "machine", "work", "fault"];
+
+export function loadPlan(file: string): Promise<RehearsalPlan> {
+  return loadHcl(file, planSchema as z.ZodType<RehearsalPlan>, LISTS);
+}
+
+export function parsePlan(file: string, text: string): Promise<RehearsalPlan> {
+  return parseHcl(file, text, planSchema as z.ZodType<RehearsalPlan>, LISTS);
+}
+
+/** One submission of a plan: when, what, how long it truly runs. */
+export interface Planned {
+  atMs: number;
+  spec: JobSpec;
+  runMs: number;
+  cancelMs: number | null;
+}
+
+/** All that a plan submits, in the order of time; run times vary by seed around what is given. */
+export function submissions(plan: RehearsalPlan, luck: () => number): Planned[] {
+  const planned: Planned[] = [];
+  const refs = new Map<string, string>();
+  let count = 0;
+  const turns = plan.work.flatMap((one) =>
+    Array.from({ length: one.jobs }, (_, turn) => ({ one, turn, atMs: (one.from + turn * one.every) * 1000 })),
+  );
+  turns.sort((a, b) => a.atMs - b.atMs || plan.work.indexOf(a.one) - plan.work.indexOf(b.one));
+  for (const { one, turn, atMs } of turns) {
+    const ref = `run-${String(++count).padStart(6, "0")}`;
+    refs.set(`${one.name}/${turn}`, ref);
+    const need = one.after === undefined ? undefined : refs.get(`${one.after}/${turn}`);
+    const runMs = one.run * 1000 * (0.8 + 0.4 * luck());
+    planned.push({
+      atMs,
+      runMs,
+      cancelMs: one.cancelled_after === undefined ? null : one.cancelled_after * 1000,
+      spec: {
+        ref,
+        klass: one.name,
+        team: one.team,
+        kind: one.shape,
+        urgency: one.urgency,
+        tasks: one.tasks,
+        cpus: one.cpus,
+        gpus: one.gpus,
+        ram: one.ram,
+        types: null,
+        zone: null,
+        oneZone: one.one_zone,
+        spread: false,
+        spot: one.spot,
+        image: `img-${one.name}`,
+        imageGb: one.image_gb,
+        guessS: one.run,
+        checkpointS: one.saves,
+        flushS: one.flush,
+        deadlineS: one.deadline ?? null,
+        ...(need === undefined ? {} : { needs: [need] }),
+      },
+    });
+  }
+  return planned;
+}
--- /dev/null
+++ b/packages/emulator/src/real/http.ts
@@ -0,0 +1,82 @@
+import { Agent, request, type IncomingMessage, type ServerResponse } from "node:http";
+
+/** An answer as bytes, so that it can be passed on, cut short or kept back. */
+export interface Raw {
+  status: number;
+  text: string;
+  retryAfter: string | undefined;
+}
+
+const MOST_BYTES = 64 * 1024 * 1024;
+
+/** Connections kept to one host, and no more than so many at a time. */
+export const agentOf = (maxSockets: number): Agent => new Agent({ keepAlive: true, maxSockets, scheduling: "lifo" });
+
+/** Null: no answer within the time, or the connection failed. */
+export function ask(
+  agent: Agent | false,
+  addr: string,
+  method: string,
+  path: string,
+  body: string | undefined,
+  timeoutMs: number,
+): Promise<Raw | null> {
+  return new Promise((resolve) => {
+    const colon = addr.lastIndexOf(":");
+    const headers = body === undefined ? {} : { "content-type": "application/json", "content-length": Buffer.byteLength(body) };
+    const req = request({ host: addr.slice(0, colon), port: Number(addr.slice(colon + 1)), method, path, agent, headers }, (res) => {
+      const chunks: Buffer[] = [];
+      res.on("data", (chunk: Buffer) => chunks.push(chunk));
+      res.on("end", () => {
+        clearTimeout(timer);
+        const retryAfter = res.headers["retry-after"];
+        resolve({ status: res.statusCode ?? 0, text: Buffer.concat(chunks).toString("utf8"), retryAfter: retryAfter?.toString() });
+      });
+      res.on("error", () => resolve(null));
+      res.on("close", () => resolve(null));
+    });
+    const timer = setTimeout(() => {
+      req.destroy();
+      resolve(null);
+    }, timeoutMs);
+    req.on("error", () => {
+      clearTimeout(timer);
+      resolve(null);
+    });
+    req.end(body);
+  });
+}
+
+export function readBody(req: IncomingMessage): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    req.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > MOST_BYTES) reject(new Error("too large"));
+      else chunks.push(chunk);
+    });
+    req.on("end", () => resolve(Buffer.concat(chunks).toString("utf8")));
+    req.on("error", reject);
+  });
+}
+
+export function send(res: ServerResponse, { status, text, retryAfter }: Raw): void {
+  if (res.headersSent || res.destroyed) return;
+  res.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+    ...(retryAfter === undefined ? {} : { "retry-after": retryAfter }),
+  });
+  res.end(text);
+}
+
+/** An object out of a text; empty if it is none. */
+export function objectOf(text: string): Record<string, unknown> {
+  try {
+    const value = JSON.parse(text) as unknown;
+    return value !== null && typeof value === "object" ? (value as Record<string, unknown>) : {};
+  } catch {
+    return {};
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/real/worker-host.ts
@@ -0,0 +1,121 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { decodeOrders, encodeReport, type Report, type ReportAnswer } from "@thorntrail/protocol/worker";
+import type { Links } from "../links.js";
+import { Worker, type WorkerWorld } from "../worker-model.js";
+import { agentOf, ask, objectOf, readBody, send, type Raw } from "./http.js";
+
+const PATIENCE_MS = 4000;
+const MOST_ANSWER = 64 * 1024;
+
+/** A controller's answer to a report, as a worker takes it. */
+function answerOf(raw: Raw | null): ReportAnswer | null {
+  if (raw === null || raw.text.length > MOST_ANSWER) return null;
+  const body = objectOf(raw.text);
+  if (raw.status === 421) return { kind: "elsewhere", boss: typeof body["boss"] === "string" ? body["boss"] : null };
+  if (raw.status !== 200) return { kind: "silent" };
+  const decoded = decodeOrders(body);
+  // Without a token the answer is dropped: as one with the lowest.
+  return decoded === null ? null : { kind: "orders", token: decoded.token ?? -1, orders: decoded.orders };
+}
+
+/** The emulated workers' sockets: a listener for each machine, reports to the controllers' front doors. */
+export class WorkerHost {
+  readonly workers = new Map<string, Worker>();
+  private readonly servers = new Map<string, Server>();
+  private readonly agent = agentOf(2000);
+  readonly stats = { reports: 0, unanswered: 0, late: 0 };
+  private readonly reportedAt = new Map<string, number>();
+
+  constructor(
+    private readonly links: Links,
+    private readonly fronts: ReadonlyMap<string, string>,
+    private readonly world: Omit<WorkerWorld, "report" | "mates">,
+  ) {}
+
+  async boot(
+    host: string,
+    offer: { type: string; zone: string; spot: boolean },
+    room: { cpus: number; gpus: number; ram: number },
+  ): Promise<string> {
+    const server = createServer((req, res) => {
+      this.serve(host, req, res).catch(() => req.destroy());
+    });
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(0, "127.0.0.1", resolve);
+    });
+    this.servers.set(host, server);
+    const worker = new Worker(host, offer, room, {
+      ...this.world,
+      report: (node, from, report) => this.report(node, from, report),
+      mates: (ref, attempt) => this.mates(ref, attempt),
+    });
+    worker.addr = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    this.workers.set(host, worker);
+    return worker.addr;
+  }
+
+  private mates(ref: string, attempt: number): ReturnType<WorkerWorld["mates"]> {
+    const found: ReturnType<WorkerWorld["mates"]> = [];
+    for (const worker of this.workers.values())
+      for (const task of worker.tasks.values()) if (task.attempt === attempt && task.ref === ref) found.push({ worker, task });
+    return found;
+  }
+
+  private async report(node: string, host: string, report: Report): Promise<ReportAnswer | null> {
+    this.stats.reports++;
+    const now = this.world.clock.now();
+    const last = this.reportedAt.get(host);
+    if (last !== undefined && now - last > this.world.reportMs * 1.25 + 250) this.stats.late++;
+    this.reportedAt.set(host, now);
+    const front = this.fronts.get(node);
+    const call = { from: host, to: node, what: "report" };
+    const body = JSON.stringify(encodeReport(report));
+    const post = (): Promise<Raw | null> =>
+      front === undefined ? Promise.resolve(null) : ask(this.agent, front, "POST", "/v1/report", body, PATIENCE_MS);
+    if (this.links.hold(call, () => void post())) return new Promise((resolve) => this.world.clock.after(PATIENCE_MS, () => resolve(null)));
+    const delayMs = this.links.delayMs(call);
+    if (delayMs > 0) await new Promise<void>((resolve) => this.world.clock.after(delayMs, resolve));
+    const answer = answerOf(await post());
+    if (answer === null) this.stats.unanswered++;
+    return this.links.blocked(call) ? null : answer;
+  }
+
+  private async serve(host: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readBody(req);
+    const worker = this.workers.get(host);
+    // A machine that hangs or is gone does not answer.
+    if (worker === undefined || worker.hanging) return;
+    if (req.method === "GET" && req.url === "/show")
+      return send(res, { status: 200, text: JSON.stringify(encodeReport(worker.snapshot())), retryAfter: undefined });
+    const decoded = decodeOrders(objectOf(body));
+    if (req.method !== "POST" || req.url !== "/commands" || decoded === null || decoded.token === null || decoded.session === null)
+      return send(res, { status: 400, text: '{"error":"expected baton, shift and orders"}', retryAfter: undefined });
+    const { token, session, orders } = decoded;
+    // Controllers are not told apart here: a cut of the machine holds commands from all.
+    const call = { from: "controllers", to: host, what: "command" };
+    const run = (): Raw => {
+      const { executed, report } = worker.command(token, session, orders);
+      return { status: executed ? 200 : 409, text: JSON.stringify(encodeReport(report)), retryAfter: undefined };
+    };
+    if (this.links.hold(call, () => void (worker.dead || run()))) return;
+    send(res, run());
+  }
+
+  /** The machine is gone. */
+  end(host: string): void {
+    this.workers.get(host)?.die();
+    this.workers.delete(host);
+    this.reportedAt.delete(host);
+    const server = this.servers.get(host);
+    this.servers.delete(host);
+    server?.close();
+    server?.closeAllConnections();
+  }
+
+  close(): void {
+    for (const host of [...this.servers.keys()]) this.end(host);
+    this.agent.destroy();
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/report.ts
@@ -0,0 +1,113 @@
+import { build } from "hdr-histogram-js";
+import type { Happening } from "./checker.js";
+import type { Planned } from "./plan.js";
+import type { Recovery } from "./recovery.js";
+
+/** What a rehearsal came to; the same for real processes and virtual time. Times in seconds. */
+export interface Report {
+  plan: string;
+  mode: "real" | "virtual";
+  seed: number;
+  seconds: number;
+  jobs: { submitted: number; accepted: number; done: number; withdrawn: number; unfinished: string[] };
+  broken: string[];
+  faults: { at: number; kind: string; met: string[] }[];
+  takeovers: number;
+  recoveries: Recovery[];
+  classes: ClassFigures[];
+  /** Processes that ended though nobody asked for it, and errors logged. */
+  trouble: string[];
+  cost: number;
+}
+
+export interface ClassFigures {
+  name: string;
+  jobs: number;
+  done: number;
+  start_p50_s: number | null;
+  start_p99_s: number | null;
+  done_p50_s: number | null;
+  done_p99_s: number | null;
+  late: number;
+}
+
+/** Times in ms, to percentiles in seconds with three digits; null: there were none. */
+export class Spread {
+  private readonly histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: 86_400_000, numberOfSignificantValueDigits: 3 });
+
+  add(ms: number): void {
+    this.histogram.recordValue(Math.max(1, Math.round(ms)));
+  }
+
+  get count(): number {
+    return this.histogram.totalCount;
+  }
+
+  at(percentile: number): number | null {
+    return this.count === 0 ? null : this.histogram.getValueAtPercentile(percentile) / 1000;
+  }
+
+  get worst(): number | null {
+    return this.count === 0 ? null : this.histogram.maxValue / 1000;
+  }
+}
+
+/** Figures by class, out of what happened. Times count from the first attempt to submit. */
+export function classFigures(history: readonly Happening[], planned: ReadonlyMap<string, Planned>): ClassFigures[] {
+  const submitted = new Map<string, number>();
+  const firstOn = new Map<string, number>();
+  const done = new Map<string, number>();
+  for (const event of history) {
+    if (event.kind === "submitted" && !submitted.has(event.spec.ref)) submitted.set(event.spec.ref, event.at);
+    else if (event.kind === "on") {
+      const ref = event.piece.slice(0, event.piece.lastIndexOf("/"));
+      if (!firstOn.has(ref)) firstOn.set(ref, event.at);
+    } else if (event.kind === "told" && event.what === "done" && !done.has(event.ref)) done.set(event.ref, event.at);
+  }
+  const classes = new Map<string, { jobs: number; done: number; late: number; starts: Spread; ends: Spread }>();
+  for (const [ref, at] of submitted) {
+    const spec = planned.get(ref)?.spec;
+    if (spec === undefined) continue;
+    let one = classes.get(spec.klass);
+    if (one === undefined) classes.set(spec.klass, (one = { jobs: 0, done: 0, late: 0, starts: new Spread(), ends: new Spread() }));
+    one.jobs++;
+    const began = firstOn.get(ref);
+    const ended = done.get(ref);
+    if (began !== undefined) one.starts.add(began - at);
+    if (ended !== undefined) {
+      one.done++;
+      one.ends.add(ended - at);
+    }
+    if (spec.deadlineS !== null && (ended ?? Infinity) - at > spec.deadlineS * 1000) one.late++;
+  }
+  return [...classes].map(([name, one]) => ({
+    name,
+    jobs: one.jobs,
+    done: one.done,
+    start_p50_s: one.starts.at(50),
+    start_p99_s: one.starts.at(99),
+    done_p50_s: one.ends.at(50),
+    done_p99_s: one.ends.at(99),
+    late: one.late,
+  }));
+}
+
+const shown = (value: number | null): string => (value === null ? "-" : value.toFixed(1));
+
+/** The figures as a table that fits a terminal. */
+export function table(report: Report): string {
+  const head = ["class", "jobs", "done", "start p50", "start p99", "done p50", "done p99", "late"];
+  const rows = report.classes.map((one) => [
+    one.name,
+    String(one.jobs),
+    String(one.done),
+    shown(one.start_p50_s),
+    shown(one.start_p99_s),
+    shown(one.done_p50_s),
+    shown(one.done_p99_s),
+    String(one.late),
+  ]);
+  const widths = head.map((_, i) => Math.max(...[head, ...rows].map((row) => row[i]!.length)));
+  const line = (row: string[]): string => row.map((cell, i) => (i === 0 ? cell.padEnd(widths[i]!) : cell.padStart(widths[i]!))).join("  ");
+  return [line(head), ...rows.map(line)].join("\n");
+}
--- a/packages/protocol/src/cloud.ts
+++ b/packages/protocol/src/cloud.ts
@@ -35,3 +35,25 @@
   remove(hosts: string[]): Promise<void>;
   list(from: string | undefined, limit: number): Promise<{ machines: ListedMachine[]; more: boolean }>;
 }
+
+/** A machine type as the cloud lists it. */
+export function encodeType(type: MachineType): Record<string, unknown> {
+  return {
+    label: type.name,
+    cpus: type.cpus,
+    accelerators: type.gpus,
+    ramGb: type.ram,
+    localGb: type.cacheGb,
+    fetchGbPerS: type.fetchGbPerS,
+    rate: type.price,
+    marketPrice: type.spotPrice,
+    bootS: type.bootS,
+    yards: type.zones,
+  };
+}
+
+/** A machine as the cloud lists it. */
+export function encodeListed(machine: ListedMachine): Record<string, unknown> {
+  const { host, addr, type, zone, spot, state, ageS } = machine;
+  return { ref: host, addr, build: type, yard: zone, loaner: spot, status: state, ageS };
+}
--- a/packages/protocol/src/jobs.ts
+++ b/packages/protocol/src/jobs.ts
@@ -102,3 +102,32 @@
     },
   };
 }
+
+const SHAPES: Record<JobKind, string> = { array: "sweep", gang: "gang", service: "daemon" };
+
+/** A job as users submit it. */
+export function encodeJob(spec: JobSpec): Record<string, unknown> {
+  return {
+    ref: spec.ref,
+    lane: spec.klass,
+    desk: spec.team,
+    shape: SHAPES[spec.kind],
+    urgency: spec.urgency,
+    pieces: spec.tasks,
+    cpus: spec.cpus,
+    accelerators: spec.gpus,
+    ramGb: spec.ram,
+    bundle: spec.image,
+    imageGb: spec.imageGb,
+    builds: spec.types,
+    yard: spec.zone,
+    samePlace: spec.oneZone,
+    spread: spec.spread,
+    loaner: spec.spot,
+    guessS: spec.guessS,
+    snapshotS: spec.checkpointS,
+    flushS: spec.flushS,
+    closeS: spec.deadlineS,
+    waitsOn: spec.needs,
+  };
+}
--- a/packages/protocol/src/worker.ts
+++ b/packages/protocol/src/worker.ts
@@ -100,3 +100,56 @@
 export interface WorkerApi {
   command(addr: string, token: number, session: number, orders: Order[]): Promise<CommandReply>;
 }
+
+/** A report as workers send it. */
+export function encodeReport(report: Report): Record<string, unknown> {
+  return {
+    host: report.host,
+    addr: report.addr,
+    build: report.type,
+    yard: report.zone,
+    loaner: report.spot,
+    shift: report.session,
+    tick: report.seq,
+    baton: report.token,
+    warningS: report.noticeS,
+    pieces: report.tasks.map((task) => ({
+      piece: task.piece,
+      try: task.attempt,
+      status: task.state,
+      ...(task.cause === null ? {} : { cause: task.cause }),
+      ...(task.saved ? { kept: true } : {}),
+    })),
+  };
+}
+
+const wireOrders = z.object({
+  baton: count.nullish(),
+  shift: count.nullish(),
+  orders: z
+    .array(
+      z.object({
+        verb: z.enum(["start", "stop", "clear"]),
+        piece: z.string().regex(/^.+\/\d+$/),
+        try: count,
+        windDownS: z.number().nullish(),
+      }),
+    )
+    .nullish(),
+});
+
+/** Orders as they come to a worker, with token and session; null: not what the protocol says. */
+export function decodeOrders(raw: unknown): { token: number | null; session: number | null; orders: Order[] } | null {
+  const parsed = wireOrders.safeParse(raw);
+  if (!parsed.success) return null;
+  const { baton, shift, orders } = parsed.data;
+  return {
+    token: baton ?? null,
+    session: shift ?? null,
+    orders: (orders ?? []).map((o): Order =>
+      o.verb === "stop"
+        ? { verb: "stop", piece: o.piece, attempt: o.try, graceS: o.windDownS ?? 0 }
+        : { verb: o.verb, piece: o.piece, attempt: o.try },
+    ),
+  };
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -115,15 +115,28 @@
   .description("make a new data folder from a snapshot; revisions go on well past its own")
   .argument("<file>")
   .argument("<dir>")
-  .option("--skip <revisions>", "revisions to skip; more than were handed out since the snapshot", (text) => {
-    if (!/^\d{1,9}$/.test(text)) throw new InvalidArgumentError("expected a whole number");
-    return Number(text);
-  })
+  .option("--skip <revisions>", "revisions to skip; more than were handed out since the snapshot", (text) => wholeNumber(text))
   .option("--json", "for scripts")
   .action(async (file: string, dir: string, options: { skip?: number; json?: boolean }) =>
     asked(await (await import("@thorntrail/store/entry")).storeRestore(file, dir, options.skip), options.json),
   );
 
+/** This very program, as children are started with it. */
+const itself = (): string[] => [process.execPath, fileURLToPath(import.meta.url)];
+const wholeNumber = (text: string): number => {
+  if (!/^\d{1,9}$/.test(text)) throw new InvalidArgumentError("expected a whole number");
+  return Number(text);
+};
+
+program
+  .command("demo")
+  .description("a small cluster on this machine: an evening's work, a controller and a machine lost on the way")
+  .option("--plan <file>", "what is played (HCL)", "deploy/demo.hcl")
+  .option("--seed <n>", "luck of boots and run times", wholeNumber, 1)
+  .action(async (options: { plan: string; seed: number }) =>
+    (await import("@thorntrail/emulator/entry")).demo({ ...options, program: itself() }),
+  );
+
 /** Faults of commands, by name: their classes live in packages that are not loaded unless asked for. */
 const EXITS: Record<string, number> = { SettingsFault: 3, CommandFailed: 4, FolderError: 4 };
 
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -1,4 +1,4 @@
-import type { JobKind, JobSpec, Urgency } from "@thorntrail/protocol/jobs";
+import { encodeJob, type JobKind, type JobSpec, type Urgency } from "@thorntrail/protocol/jobs";
 import { keys, type SliceRecord } from "../../src/ledger/records.js";
 import { plainPlan, World as AnyWorld, type Plan } from "@thorntrail/emulator/entry";
 import { spawnController, type Rehearsed } from "../../src/rehearsal/spawn.js";
@@ -15,7 +15,7 @@
   line: string;
 }
 
-const SHAPES: Record<string, [string, JobKind]> = { array: ["sweep", "array"], gang: ["gang", "gang"], service: ["daemon", "service"] };
+const KINDS: Record<string, JobKind> = { array: "array", gang: "gang", service: "service" };
 
 function options(words: string[]): Map<string, string> {
   const found = new Map<string, string>();
@@ -80,7 +80,7 @@
   const [ref, shape] = words as [string, string];
   const flags = new Set(["one-zone", "spread", "spot", "mistaken"].filter((f) => words.includes(f)));
   const o = options(words.slice(2).filter((w) => !flags.has(w)));
-  const [wireShape, kind] = SHAPES[shape]!;
+  const kind = KINDS[shape]!;
   if (flags.has("mistaken")) world.mistaken.add(ref);
   const runS = Number(o.get("for") ?? 10);
   world.runs.set(ref, runS * 1000);
@@ -107,29 +107,7 @@
     deadlineS: null,
     ...(o.has("after") ? { needs: o.get("after")!.split(",") } : {}),
   };
-  const wire = {
-    ref,
-    lane: spec.klass,
-    desk: spec.team,
-    shape: wireShape,
-    urgency: spec.urgency,
-    pieces: spec.tasks,
-    cpus: spec.cpus,
-    accelerators: spec.gpus,
-    ramGb: spec.ram,
-    bundle: spec.image,
-    imageGb: 1,
-    builds: spec.types,
-    yard: spec.zone,
-    samePlace: spec.oneZone,
-    spread: spec.spread,
-    loaner: spec.spot,
-    guessS: spec.guessS,
-    snapshotS: spec.checkpointS,
-    flushS: 1,
-    closeS: null,
-    waitsOn: spec.needs,
-  };
+  const wire = encodeJob(spec);
   return { wire, spec, node: o.get("at-node") };
 }
 
