Recovery as a duty that is observed; rehearsals in virtual time, shrinking, campaign

Need: nobody could say how long the cluster takes to come back from a loss, nor try a plan of faults with the same luck again.

Change: Recovery follows every part that changes hands through claim, fence, first start and back, in logs, metrics and /cluster. thorntrail rehearse PLAN [--virtual] [--campaign N]; moments; the shortest plan that still breaks; pairwise cases of fault, moment, length and a second fault. npm run measure -- recovery. A rental's answer kept the caller's record, whose time took the place of the time at which a task came on its machine: the checker now judges by the right time.

--- /dev/null
+++ b/measure/recovery.ts
@@ -0,0 +1,62 @@
+import { loadPlan, playVirtual, Spread, type RehearsalPlan } from "../packages/emulator/src/entry.js";
+import { momentOf } from "../src/rehearsal/moments.js";
+import { spawnController } from "../src/rehearsal/spawn.js";
+import { options, progress, report } from "./harness.js";
+
+/**
+ * How long recovery takes, over many rehearsals in virtual time: the same plan, seeds and
+ * faults each time, so that two versions can be compared. Times in ms from the loss.
+ */
+const given = options({ repeats: 40, quickRepeats: 4 });
+const base = await loadPlan("deploy/rehearsal.hcl");
+
+/** What is lost, and what else goes wrong in the midst of it. */
+const LOSSES: Record<string, RehearsalPlan["fault"]> = {
+  crash: [{ at: 30, fault: { kind: "restart", target: "leader", for: 40 } }],
+  crash_and_machine: [
+    { at: 30, fault: { kind: "restart", target: "leader", for: 40 } },
+    { at: 30, fault: { kind: "lose", target: "busiest", count: 1 } },
+  ],
+  crash_and_hang: [
+    { at: 30, fault: { kind: "hang", target: "busiest", for: 60 } },
+    { at: 30, fault: { kind: "restart", target: "leader", for: 40 } },
+  ],
+  frozen: [{ at: 30, fault: { kind: "freeze", target: "leader", for: 40 } }],
+  cut: [{ at: 30, fault: { kind: "cut", target: "leader", from: "all", for: 40 } }],
+  cut_from_state: [{ at: 30, fault: { kind: "cut", target: "leader", from: "state", for: 40 } }],
+  crash_and_store: [
+    { at: 30, fault: { kind: "restart", target: "leader", for: 40 } },
+    { at: 38, fault: { kind: "restart-store", for: 2 } },
+  ],
+};
+
+const figures: Record<string, number> = {};
+let rehearsals = 0;
+let broken = 0;
+let unfinished = 0;
+for (const [loss, fault] of Object.entries(LOSSES)) {
+  const spreads = { claimed: new Spread(), fenced: new Spread(), back: new Spread(), done: new Spread() };
+  for (let i = 0; i < given.repeats; i++) {
+    const played = await playVirtual({ plan: { ...base, name: loss, fault }, seed: given.seed + i, spawn: spawnController, momentOf });
+    rehearsals++;
+    broken += played.broken.length;
+    unfinished += played.jobs.unfinished.length;
+    for (const rule of played.broken) progress(`${loss}, seed ${given.seed + i}: ${rule}`);
+    for (const span of played.recoveries) {
+      if (span.claimed !== null) spreads.claimed.add(span.claimed);
+      if (span.fenced !== null) spreads.fenced.add(span.fenced);
+      if (span.back !== null) spreads.back.add(span.back);
+    }
+    const close = played.classes.find(({ name }) => name === "cierre");
+    if (close?.done_p99_s != null) spreads.done.add(close.done_p99_s * 1000);
+  }
+  for (const [phase, spread] of Object.entries(spreads)) {
+    figures[`${loss}_${phase}_p50_s`] = spread.at(50) ?? NaN;
+    figures[`${loss}_${phase}_p99_s`] = spread.at(99) ?? NaN;
+    figures[`${loss}_${phase}_worst_s`] = spread.worst ?? NaN;
+  }
+  progress(
+    `${loss}: claimed ${spreads.claimed.at(50)} s, fenced p50 ${spreads.fenced.at(50)} p99 ${spreads.fenced.at(99)} s, back p50 ${spreads.back.at(50)} p99 ${spreads.back.at(99)} s, edition close done p99 ${spreads.done.at(99)} s`,
+  );
+}
+report("recovery", given, { rehearsals, broken_rules: broken, unfinished_jobs: unfinished, ...figures });
--- /dev/null
+++ b/packages/emulator/src/campaign.ts
@@ -0,0 +1,94 @@
+import { make, sorters } from "covertable";
+import { decodeFault, type Fault } from "./faults.js";
+import { MOMENTS, type Moment, type RehearsalPlan } from "./plan.js";
+
+/**
+ * Which faults meet which moments: every pair of fault, moment, length and second fault is
+ * met by some rehearsal, without trying all combinations (pairwise covering).
+ */
+const lengths = { short: 3, long: 30 } as const;
+type Length = keyof typeof lengths;
+
+const FAULTS: Record<string, (seconds: number) => Record<string, unknown>> = {
+  restart: (s) => ({ kind: "restart", for: Math.max(2, s / 3) }),
+  "restart all": (s) => ({ kind: "restart", target: "all", for: Math.max(2, s / 3) }),
+  freeze: (s) => ({ kind: "freeze", for: s }),
+  "cut from state": (s) => ({ kind: "cut", from: "state", for: s }),
+  "cut from workers": (s) => ({ kind: "cut", from: "workers", for: s }),
+  "cut from all": (s) => ({ kind: "cut", from: "all", for: s }),
+  "refused by state": (s) => ({ kind: "refuse", by: "state", for: s }),
+  "store restarts": (s) => ({ kind: "restart-store", for: s / 3 }),
+  "state outage": (s) => ({ kind: "outage", of: "state", for: s }),
+  "cloud outage": (s) => ({ kind: "outage", of: "cloud", for: s }),
+  "answers lost": () => ({ kind: "drop", target: "all", by: "state", what: "txn", count: 3 }),
+  "late transactions": (s) => ({ kind: "late", target: "all", by: "state", what: "txn", count: 2, ms: s * 1000 }),
+  "late rentals": (s) => ({ kind: "late", target: "all", by: "cloud", what: "hire", count: 2, ms: s * 1000 }),
+  "rental answered for another": () => ({ kind: "wrong", target: "all", by: "cloud", what: "hire", form: "other" }),
+  "list older than the last": () => ({ kind: "wrong", target: "all", by: "cloud", what: "list", form: "older", count: 4 }),
+  "list without machines": () => ({ kind: "wrong", target: "all", by: "cloud", what: "list", form: "other", count: 4 }),
+  "list with ghosts": () => ({ kind: "wrong", target: "all", by: "cloud", what: "list", form: "ghost", count: 4 }),
+  "executed, answered 500": () => ({ kind: "wrong", target: "all", by: "state", what: "txn", form: "error-after", count: 3 }),
+  "twice at the cloud": () => ({ kind: "twice", target: "all", by: "cloud", what: "hire", count: 2 }),
+  "machine lost": () => ({ kind: "lose" }),
+  "machine taken": () => ({ kind: "take", notice: 5 }),
+  "machine fails": () => ({ kind: "fail" }),
+  "machine hangs": (s) => ({ kind: "hang", for: s }),
+  "machine sick": () => ({ kind: "sick" }),
+  "machine slow": () => ({ kind: "slow", factor: 5 }),
+  "machine cut": (s) => ({ kind: "cut-machine", for: s }),
+};
+
+export interface Case {
+  fault: string;
+  moment: Moment;
+  length: Length;
+  /** A second fault some seconds into the first; none: the first alone. */
+  beside: string;
+}
+
+const BESIDE = ["none", "machine lost", "restart", "answers lost", "store restarts"];
+
+/** Cases such that every pair of values of two factors is in one of them; the seed chooses among such lists. */
+export function cases(seed: number): Case[] {
+  const factors = { fault: Object.keys(FAULTS), moment: [...MOMENTS], length: Object.keys(lengths), beside: BESIDE };
+  const rows = make(factors, { length: 2, sorter: sorters.hash, seed });
+  return rows as unknown as Case[];
+}
+
+function faultOf(name: string, length: Length): Fault {
+  const decoded = decodeFault(FAULTS[name]!(lengths[length]));
+  if ("wrong" in decoded) throw new Error(`${name}: ${decoded.wrong}`);
+  return decoded.fault;
+}
+
+/** The plan with the faults of one case instead of its own. A takeover's moments need one to begin with. */
+export function planOf(base: RehearsalPlan, one: Case): RehearsalPlan {
+  const fault: RehearsalPlan["fault"] = [{ moment: one.moment, fault: faultOf(one.fault, one.length) }];
+  if (one.moment === "fencing" || one.moment === "handing-over") fault.push({ at: 20, fault: faultOf("restart", "short") });
+  if (one.beside !== "none") fault.push({ at: 26, fault: faultOf(one.beside, "short") });
+  return { ...base, name: `${one.fault}, ${one.length}, at ${one.moment}${one.beside === "none" ? "" : `, beside ${one.beside}`}`, fault };
+}
+
+export interface Covered {
+  fault: string;
+  moment: Moment;
+  /** The moment came and the fault met somebody. */
+  seen: boolean;
+  broken: number;
+  unfinished: number;
+}
+
+/** Fault by moment: `+` met, `.` not met, `!` a rule broke, blank: not tried. */
+export function coverageTable(covered: readonly Covered[]): string {
+  const width = Math.max(...Object.keys(FAULTS).map((name) => name.length));
+  const lines = MOMENTS.map((moment, i) => `${" ".repeat(width)} ${"| ".repeat(i)}${moment}`);
+  for (const fault of Object.keys(FAULTS)) {
+    const cells = MOMENTS.map((moment) => {
+      const tried = covered.filter((one) => one.fault === fault && one.moment === moment);
+      if (tried.length === 0) return " ";
+      return tried.some((one) => one.broken > 0) ? "!" : tried.some((one) => one.seen) ? "+" : ".";
+    });
+    lines.push(`${fault.padEnd(width)} ${cells.join(" ")}`);
+  }
+  return lines.join("\n");
+}
--- a/packages/emulator/src/cloud-model.ts
+++ b/packages/emulator/src/cloud-model.ts
@@ -63,7 +63,9 @@
   }
 
   /** Null: none to be had. */
-  hire(name: string, offer: Offer, count: number): string[] | null {
+  hire(name: string, { type: of, zone, spot }: Offer, count: number): string[] | null {
+    // Only what an offer is: in virtual time callers hand over records that say more.
+    const offer: Offer = { type: of, zone, spot };
     const before = this.answers.get(name);
     if (before !== undefined) return before;
     const key = keyOf(offer);
--- a/packages/emulator/src/commands.ts
+++ b/packages/emulator/src/commands.ts
@@ -1,8 +1,12 @@
 import { writeFileSync } from "node:fs";
 import { BRISK, USUAL } from "./place.js";
-import { loadPlan } from "./plan.js";
+import { cases, coverageTable, planOf, type Covered } from "./campaign.js";
+import { loadPlan, type RehearsalPlan } from "./plan.js";
 import { playReal } from "./real/play.js";
 import { table, type Report } from "./report.js";
+import { shrink } from "./shrink.js";
+import { playVirtual, type VirtualOptions } from "./virtual/play.js";
+import type { ControllerPort } from "./virtual/world.js";
 
 /** A rehearsal that could not be carried out, or did not go well. */
 export class CommandFailed extends Error {}
@@ -102,3 +106,63 @@
   );
   if (!good(report)) process.exitCode = 4;
 }
+
+export interface RehearseVirtual<C extends ControllerPort> extends Pick<VirtualOptions<C>, "spawn" | "momentOf"> {
+  plan: string;
+  seed: number | undefined;
+  report: string | undefined;
+  /** Instead of the plan's own faults: every pair of fault and moment, at most so many rehearsals. */
+  campaign: number | undefined;
+}
+
+const SHRINK_RUNS = 60;
+
+/** `thorntrail rehearse --virtual`: the plan once, or with each case of a campaign; what broke, and the shortest plan that still breaks it. */
+export async function rehearseVirtual<C extends ControllerPort>(options: RehearseVirtual<C>): Promise<void> {
+  const plan = await loadPlan(options.plan);
+  const seed = options.seed ?? plan.seed;
+  const { spawn, momentOf } = options;
+  const play = (one: RehearsalPlan): ReturnType<typeof playVirtual> => playVirtual({ plan: one, seed, spawn, momentOf });
+  const { say, end } = teller();
+  if (options.campaign === undefined) {
+    const report = await play(plan);
+    if (report.broken.length > 0) {
+      say("a rule broke: looking for the shortest plan that still breaks it");
+      const shortest = await shrink(plan, async (one) => (await play(one)).broken.length > 0, SHRINK_RUNS);
+      Object.assign(report, { shortest: shortest.plan, shrinkRuns: shortest.runs });
+      end();
+      process.stdout.write(
+        `shortest plan that still breaks: ${JSON.stringify({ work: shortest.plan.work.map(({ name }) => name), fault: shortest.plan.fault })}\n`,
+      );
+    }
+    return finish(report, options.report);
+  }
+  const chosen = cases(seed).slice(0, options.campaign);
+  const covered: Covered[] = [];
+  const bad: { name: string; broken: string[]; unfinished: string[]; trouble: string[] }[] = [];
+  for (const [i, one] of chosen.entries()) {
+    const asked = planOf(plan, one);
+    say(`${i + 1} of ${chosen.length}: ${asked.name}`);
+    const report = await play(asked);
+    const met = report.moments.some(({ moment, met: whom }) => moment === one.moment && whom.length > 0);
+    covered.push({
+      fault: one.fault,
+      moment: one.moment,
+      seen: met,
+      broken: report.broken.length,
+      unfinished: report.jobs.unfinished.length,
+    });
+    if (report.broken.length + report.jobs.unfinished.length > 0)
+      bad.push({ name: asked.name, broken: report.broken, unfinished: report.jobs.unfinished, trouble: report.trouble });
+  }
+  end();
+  if (options.report !== undefined) writeFileSync(options.report, `${JSON.stringify({ plan: plan.name, seed, covered, bad }, null, 2)}\n`);
+  process.stdout.write(`${coverageTable(covered)}\n`);
+  for (const { name, broken, unfinished } of bad)
+    process.stdout.write(`${name}: ${broken.join("; ") || `unfinished: ${unfinished.join(", ")}`}\n`);
+  const met = covered.filter(({ seen }) => seen).length;
+  process.stdout.write(
+    `campaign: ${chosen.length} rehearsals, ${met} met their moment, ${bad.filter((one) => one.broken.length > 0).length} broke a rule, ${bad.length} left work or broke a rule\n`,
+  );
+  if (bad.some((one) => one.broken.length > 0)) process.exitCode = 4;
+}
--- /dev/null
+++ b/packages/emulator/src/shrink.ts
@@ -0,0 +1,34 @@
+import type { RehearsalPlan } from "./plan.js";
+
+/**
+ * The shortest plan that still breaks: faults are left out in halves, quarters and one
+ * by one, then work, as long as what is left breaks too. `tries` bounds the runs.
+ */
+export async function shrink(
+  plan: RehearsalPlan,
+  breaks: (plan: RehearsalPlan) => Promise<boolean>,
+  tries: number,
+): Promise<{ plan: RehearsalPlan; runs: number }> {
+  let best = plan;
+  let runs = 0;
+  const reduce = async <T>(list: readonly T[], least: number, make: (kept: T[]) => RehearsalPlan): Promise<void> => {
+    let kept = [...list];
+    for (let size = Math.ceil(kept.length / 2); size >= 1; size = size === 1 ? 0 : Math.ceil(size / 2)) {
+      for (let from = 0; from < kept.length && runs < tries;) {
+        const without = [...kept.slice(0, from), ...kept.slice(from + size)];
+        if (without.length < least) break;
+        const candidate = make(without);
+        runs++;
+        if (await breaks(candidate)) {
+          kept = without;
+          best = candidate;
+        } else from += size;
+      }
+    }
+  };
+  await reduce(best.fault, 0, (fault) => ({ ...best, fault }));
+  const needed = (works: RehearsalPlan["work"]): boolean =>
+    works.every((one) => one.after === undefined || works.some((other) => other.name === one.after));
+  await reduce(best.work, 1, (work) => (needed(work) ? { ...best, work } : best));
+  return { plan: best, runs };
+}
--- a/packages/emulator/src/virtual/world.ts
+++ b/packages/emulator/src/virtual/world.ts
@@ -103,6 +103,8 @@
 export class World<C extends ControllerPort> {
   readonly clock = new VirtualClock();
   readonly history: Happening[] = [];
+  /** Told of what happens to tasks as it does. */
+  onHappening: (event: Happening) => void = () => undefined;
   readonly links = new Links();
   readonly state: VirtualState;
   readonly cloud: CloudModel;
@@ -261,7 +263,7 @@
   }
 
   /** Times the usual run time that the machine's tasks take from now on. */
-  slow$(host: string, factor: number): void {
+  slowDown(host: string, factor: number): void {
     this.slow.set(host, factor);
     this.workers.get(host)?.look();
   }
@@ -298,6 +300,11 @@
     });
   }
 
+  private happened(event: Happening): void {
+    this.history.push(event);
+    this.onHappening(event);
+  }
+
   private boot(host: string, offer: Offer): void {
     const type = this.plan.types.find((t) => t.name === offer.type)!;
     const around: WorkerWorld = {
@@ -325,8 +332,8 @@
       slowness: (name) => this.slow.get(name) ?? 1,
       sick: (name, ref) => this.sickHosts.has(name) || this.mistaken.has(ref),
       saved: this.saved,
-      on: (worker, piece) => this.history.push({ at: this.clock.now(), kind: "on", piece, host: worker.host, ...worker.offer }),
-      off: (worker, piece, cause) => this.history.push({ at: this.clock.now(), kind: "off", piece, host: worker.host, cause }),
+      on: (worker, piece) => this.happened({ at: this.clock.now(), kind: "on", piece, host: worker.host, ...worker.offer }),
+      off: (worker, piece, cause) => this.happened({ at: this.clock.now(), kind: "off", piece, host: worker.host, cause }),
       mates: (ref, attempt) =>
         [...this.workers.values()].flatMap((worker) =>
           [...worker.tasks.values()].filter((t) => t.ref === ref && t.attempt === attempt).map((task) => ({ worker, task })),
--- a/packages/emulator/src/worker-model.ts
+++ b/packages/emulator/src/worker-model.ts
@@ -80,6 +80,11 @@
     this.arm();
   }
 
+  /** The node it reports to just now. */
+  get reportsTo(): string {
+    return this.world.nodes[this.node]!;
+  }
+
   get hanging(): boolean {
     return this.hung;
   }
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -84,6 +84,7 @@
       rate: requests,
       scope,
       unfit: () => this.fitness.unfit,
+      taken: (part, term, reason, silentMs) => this.leader.recovery.claimed(part, term, reason, silentMs),
       reaches: (part) => this.fitness.reaches(part),
     });
     this.allotments = new Allotments(settings, this.mirror, this.committer, scope);
--- a/src/main.ts
+++ b/src/main.ts
@@ -137,6 +137,25 @@
     (await import("@thorntrail/emulator/entry")).demo({ ...options, program: itself() }),
   );
 
+program
+  .command("rehearse")
+  .description("play a plan of work and faults, check every rule, and say what broke")
+  .argument("<plan>", "plan file (HCL), such as deploy/rehearsal.hcl")
+  .option("--virtual", "in virtual time instead of on real processes")
+  .option(
+    "--campaign <n>",
+    "virtual: faults met with moments by pairwise covering instead of the plan's own, at most n rehearsals",
+    wholeNumber,
+  )
+  .option("--seed <n>", "instead of the plan's", wholeNumber)
+  .option("--report <file>", "write the whole report as JSON")
+  .action(async (plan: string, options: { virtual?: boolean; campaign?: number; seed?: number; report?: string }) => {
+    const { seed, report, campaign } = options;
+    if (options.virtual !== true && campaign !== undefined) throw new InvalidArgumentError("--campaign needs --virtual");
+    if (options.virtual === true) await (await import("./rehearsal/virtual.js")).rehearseVirtual({ plan, seed, report, campaign });
+    else await (await import("@thorntrail/emulator/entry")).rehearseReal({ plan, program: itself(), seed, report });
+  });
+
 /** Faults of commands, by name: their classes live in packages that are not loaded unless asked for. */
 const EXITS: Record<string, number> = { SettingsFault: 3, CommandFailed: 4, FolderError: 4 };
 
--- a/src/parts/consequences.ts
+++ b/src/parts/consequences.ts
@@ -3,6 +3,7 @@
 import type { Led } from "./led.js";
 import type { Part } from "./part.js";
 import type { Progress } from "./progress.js";
+import type { Recovery } from "./recovery.js";
 
 /** Tasks seen, and times the usual run time they took, before a machine counts as slow. */
 const SLOW_AFTER = 3;
@@ -13,6 +14,7 @@
   constructor(
     private readonly led: Led,
     private readonly progress: Progress,
+    private readonly recovery: Recovery,
   ) {}
 
   act(part: Part, findings: Findings): void {
@@ -29,6 +31,7 @@
   private began(part: Part, placement: Placement): void {
     const { spec, submittedWall, moved } = placement.unit;
     this.led.stats.starts++;
+    this.recovery.began(part);
     this.led.began$.next({ klass: spec.klass, waitS: Math.max(0, this.led.scope.clock.wall() - submittedWall) / 1000 });
     this.led.scope.log.debug(
       {
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -20,6 +20,7 @@
 import type { Part } from "./part.js";
 import { Placing } from "./placing.js";
 import { Progress } from "./progress.js";
+import { Recovery } from "./recovery.js";
 import { ReportDesk } from "./report-desk.js";
 import { summarize } from "./summary.js";
 import { Watch } from "./watch.js";
@@ -35,6 +36,7 @@
   /** Tasks that began to run, with their wait since submission. */
   readonly began$ = new Subject<{ klass: string; waitS: number }>();
   types: MachineType[] = [];
+  readonly recovery = new Recovery(this);
   private readonly watch: Watch;
   private readonly placing: Placing;
   private readonly reports: ReportDesk;
@@ -56,8 +58,8 @@
   ) {
     this.history = new RunHistory(settings.operators.queue.guesses);
     const progress = new Progress(this, mirror, committer);
-    const consequences = new Consequences(this, progress);
-    this.watch = new Watch(this, progress, consequences);
+    const consequences = new Consequences(this, progress, this.recovery);
+    this.watch = new Watch(this, progress, consequences, this.recovery);
     this.placing = new Placing(this, allotments, guarantees);
     const cameUp = new CameUp(this, mirror, rentals, committer);
     this.reports = new ReportDesk(this, mirror, rentals, progress, cameUp, consequences, this.watch);
--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -17,6 +17,8 @@
   scope: Scope;
   /** While this node cannot reach its workers, it should not lead. */
   unfit: () => boolean;
+  /** A part was taken: why, and how long its former leader had been silent. */
+  taken: (part: number, term: number, reason: string, silentMs: number | null) => void;
   /** Do the part's machines answer this node? */
   reaches: (part: number) => Promise<boolean>;
 }
@@ -205,8 +207,11 @@
       .commit("claim", draft, { turn: "now", alone: true, shedAfterMs: this.around.settings.timing.presenceMs })
       .then((outcome) => {
         this.claiming.delete(part);
-        if (outcome === "done")
-          this.around.scope.log.info({ part, reason, term: this.around.mirror.stamp(key), former: before?.v.owner }, "part taken");
+        if (outcome !== "done") return;
+        const term = this.around.mirror.stamp(key);
+        const since = before === undefined ? undefined : this.missingSince.get(before.v.owner);
+        this.around.taken(part, term, reason, since === undefined ? null : Math.round(this.around.scope.clock.now() - since));
+        this.around.scope.log.info({ part, reason, term, former: before?.v.owner }, "part taken");
       });
   }
 }
--- a/src/parts/watch.ts
+++ b/src/parts/watch.ts
@@ -4,13 +4,18 @@
 import type { Led } from "./led.js";
 import type { Part } from "./part.js";
 import type { Progress } from "./progress.js";
+import type { Recovery } from "./recovery.js";
 
 /** What the passing of time brings: leases that run out, notices, the end of fencing. */
 export class Watch {
+  /** Of a part that is fenced: a machine that was not accounted for when last looked. */
+  private readonly waitsFor = new WeakMap<Part, string>();
+
   constructor(
     private readonly led: Led,
     private readonly progress: Progress,
     private readonly consequences: Consequences,
+    private readonly recovery: Recovery,
   ) {}
 
   look(): void {
@@ -31,13 +36,19 @@
         if (!machine.fenced && !machine.lost && part.phase === "fencing") this.led.dispatch$.next({ part, machine });
       }
       if (part.phase === "fencing") this.reviewFence(part);
+      this.recovery.look(part);
     }
     this.led.wake();
   }
 
   reviewFence(part: Part): void {
-    for (const machine of part.machines.values()) if (!machine.fenced) return;
+    for (const machine of part.machines.values()) {
+      if (machine.fenced) continue;
+      this.waitsFor.set(part, machine.host);
+      return;
+    }
     part.phase = "serving";
+    this.recovery.fenced(part, this.waitsFor.get(part) ?? null);
     this.led.stats.fencedMs = Math.round(this.led.now - part.since);
     this.led.scope.log.info(
       { part: part.id, term: part.term, ms: Math.round(this.led.now - part.since), machines: part.machines.size },
--- a/src/status/metrics.ts
+++ b/src/status/metrics.ts
@@ -66,6 +66,13 @@
     gauge("silent_peers", "Controllers whose presence ran out", () => ownership.silentNodes().length);
     gauge("cut_off_from_workers", "1 while this node cannot reach its workers", () => Number(fitness.unfit));
     gauge("takeover_ms", "From taking the newest part to its first placement pass", () => leader.stats.fencedMs);
+    for (const [name, help, read] of [
+      ["recovery_silent_ms", "Of the newest takeover: silence of the former leader before the claim", "silentMs"],
+      ["recovery_fenced_ms", "Of the newest takeover: from the claim until all machines were accounted for", "fencedMs"],
+      ["recovery_placed_ms", "Of the newest takeover: from the claim to the first start", "placedMs"],
+      ["recovery_back_ms", "Of the newest takeover: from the claim until nothing waited for it", "backMs"],
+    ] as const)
+      gauge(name, help, () => leader.recovery.spans.at(-1)?.[read] ?? 0);
     gauge(
       "price_per_hour",
       "Of the machines of this node's parts",
--- a/src/status/view.ts
+++ b/src/status/view.ts
@@ -2,6 +2,8 @@
 import { keys, type AllotmentRecord } from "../ledger/records.js";
 import { estimateWaits, utilization } from "../queue/estimate.js";
 
+const SHOWN_RECOVERIES = 10;
+
 /** The cluster as this node sees it, for the person on call. */
 export function clusterView(controller: Controller): Record<string, unknown> {
   const { settings, mirror, rentals, needs, ownership, leader, exchange, fitness, stalls } = controller;
@@ -45,5 +47,6 @@
     jobsWaitingForOthers: needs.waiting,
     parts,
     allotments,
+    recoveries: leader.recovery.spans.slice(-SHOWN_RECOVERIES),
   };
 }
