Faults on command: thorntrail emulator serve, thorntrail fault; hard cases and a drawn campaign as tests

Need: faults by command against a running place, and each hard case caused by a test.

Change: an admin address of the emulator takes faults, jobs and status; thorntrail fault checks what is asked before it is sent. Moments count from a time on. Tests play the hard cases, every eleventh case of the pairwise campaign, drawn sequences, shrinking, malformed plans and faults, and a place of real processes.

--- a/packages/emulator/src/campaign.ts
+++ b/packages/emulator/src/campaign.ts
@@ -10,7 +10,7 @@
 type Length = keyof typeof lengths;
 
 const FAULTS: Record<string, (seconds: number) => Record<string, unknown>> = {
-  restart: (s) => ({ kind: "restart", for: Math.max(2, s / 3) }),
+  restart: (s) => ({ kind: "restart", for: Math.max(2, s * 0.8) }),
   "restart all": (s) => ({ kind: "restart", target: "all", for: Math.max(2, s / 3) }),
   freeze: (s) => ({ kind: "freeze", for: s }),
   "cut from state": (s) => ({ kind: "cut", from: "state", for: s }),
@@ -46,6 +46,9 @@
   beside: string;
 }
 
+/** Moments count from here on: before, there are no machines to be met. */
+const WARM_S = 12;
+
 const BESIDE = ["none", "machine lost", "restart", "answers lost", "store restarts"];
 
 /** Cases such that every pair of values of two factors is in one of them; the seed chooses among such lists. */
@@ -63,8 +66,12 @@
 
 /** The plan with the faults of one case instead of its own. A takeover's moments need one to begin with. */
 export function planOf(base: RehearsalPlan, one: Case): RehearsalPlan {
-  const fault: RehearsalPlan["fault"] = [{ moment: one.moment, fault: faultOf(one.fault, one.length) }];
-  if (one.moment === "fencing" || one.moment === "handing-over") fault.push({ at: 20, fault: faultOf("restart", "short") });
+  const fault: RehearsalPlan["fault"] = [
+    { moment: one.moment, after: one.moment === "first-placement" ? 0 : WARM_S, fault: faultOf(one.fault, one.length) },
+  ];
+  if (one.moment === "fencing") fault.push({ at: 20, fault: faultOf("restart", "short") });
+  // Long enough away for another to take the part, which then comes home.
+  if (one.moment === "handing-over") fault.push({ at: 20, fault: faultOf("restart", "long") });
   if (one.beside !== "none") fault.push({ at: 26, fault: faultOf(one.beside, "short") });
   return { ...base, name: `${one.fault}, ${one.length}, at ${one.moment}${one.beside === "none" ? "" : `, beside ${one.beside}`}`, fault };
 }
--- a/packages/emulator/src/commands.ts
+++ b/packages/emulator/src/commands.ts
@@ -2,7 +2,11 @@
 import { BRISK, USUAL } from "./place.js";
 import { cases, coverageTable, planOf, type Covered } from "./campaign.js";
 import { loadPlan, type RehearsalPlan } from "./plan.js";
+import { decodeFault } from "./faults.js";
+import { serveAdmin } from "./real/admin.js";
+import { ask, objectOf } from "./real/http.js";
 import { playReal } from "./real/play.js";
+import { Rig } from "./real/rig.js";
 import { table, type Report } from "./report.js";
 import { shrink } from "./shrink.js";
 import { playVirtual, type VirtualOptions } from "./virtual/play.js";
@@ -166,3 +170,46 @@
   );
   if (bad.some((one) => one.broken.length > 0)) process.exitCode = 4;
 }
+
+function addressOf(text: string, option: string): [string, number] {
+  const found = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/.exec(text);
+  if (found === null || Number(found[2]) > 65_535) throw new CommandFailed(`${option} ${text}: give an address like 127.0.0.1:7070`);
+  return [found[1]!, Number(found[2])];
+}
+
+/** `thorntrail emulator serve`: the place of a plan on real processes, without its work and faults, until it is ended. */
+export async function emulatorServe(options: { plan: string; program: string[]; admin: string; seed: number | undefined }): Promise<void> {
+  const plan = await loadPlan(options.plan);
+  const [host, port] = addressOf(options.admin, "--admin");
+  const stop = interruptible();
+  const rig = new Rig({ program: options.program, plan, timing: USUAL, seed: options.seed ?? plan.seed });
+  try {
+    await rig.start();
+    const { server, addr } = await serveAdmin(rig, host, port);
+    process.stdout.write(`${JSON.stringify({ admin: addr, ...rig.status() })}\n`);
+    await new Promise<void>((resolve) => stop.signal.addEventListener("abort", () => resolve()));
+    server.close();
+    server.closeAllConnections();
+  } finally {
+    rig.close();
+  }
+}
+
+/** `thorntrail fault KIND key=value...`: one fault, now. */
+export async function faultCommand(options: { emulator: string; kind: string; fields: string[] }): Promise<Record<string, unknown>> {
+  addressOf(options.emulator, "--emulator");
+  const asked: Record<string, unknown> = { kind: options.kind };
+  for (const field of options.fields) {
+    const at = field.indexOf("=");
+    if (at <= 0) throw new CommandFailed(`${field}: expected name=value, such as for=10`);
+    const value = field.slice(at + 1);
+    asked[field.slice(0, at)] = /^-?\d+(\.\d+)?$/.test(value) ? Number(value) : value;
+  }
+  // Checked here first: a mistake is told without a running emulator.
+  const decoded = decodeFault(asked);
+  if ("wrong" in decoded) throw new CommandFailed(`fault ${options.kind}: ${decoded.wrong}`);
+  const answer = await ask(false, options.emulator, "POST", "/faults", JSON.stringify(asked), 5000);
+  if (answer === null) throw new CommandFailed(`${options.emulator} does not answer: start 'thorntrail emulator serve' first`);
+  if (answer.status !== 200) throw new CommandFailed(String(objectOf(answer.text)["error"] ?? `status ${answer.status}`));
+  return objectOf(answer.text);
+}
--- a/packages/emulator/src/entry.ts
+++ b/packages/emulator/src/entry.ts
@@ -1,5 +1,14 @@
 export { World, plainPlan, type ControllerPort, type Plan, type Spawned } from "./virtual/world.js";
-export { CommandFailed, demo, finish, rehearseReal, rehearseVirtual, type RehearseVirtual } from "./commands.js";
+export {
+  CommandFailed,
+  demo,
+  emulatorServe,
+  faultCommand,
+  finish,
+  rehearseReal,
+  rehearseVirtual,
+  type RehearseVirtual,
+} from "./commands.js";
 export { playVirtual, type MetMoment, type MomentOf, type VirtualOptions } from "./virtual/play.js";
 export { cases, coverageTable, planOf, type Covered } from "./campaign.js";
 export { shrink } from "./shrink.js";
--- a/packages/emulator/src/plan.ts
+++ b/packages/emulator/src/plan.ts
@@ -60,9 +60,15 @@
   cancelled_after: positive.optional(),
 });
 
-const timed = z.object({ at: amount.optional(), moment: z.enum(MOMENTS).optional() }).loose();
+/** `from`: the first such moment after so many seconds. */
+const timed = z
+  .object({ at: amount.optional(), moment: z.enum(MOMENTS).optional(), from: z.union([amount, z.string()]).optional() })
+  .loose();
 const fault = timed.transform((raw, context) => {
-  const { at, moment, ...rest } = raw;
+  const { at, moment, from, ...rest } = raw;
+  // A cut says by the same name what it is from.
+  const after = typeof from === "number" ? from : 0;
+  if (typeof from === "string") Object.assign(rest, { from });
   if ((at === undefined) === (moment === undefined)) {
     context.addIssue({ code: "custom", message: "expected either at (seconds) or moment" });
     return z.NEVER;
@@ -73,7 +79,7 @@
       context.addIssue({ code: "custom", message: issue.message, path: issue.path as (string | number)[] });
     return z.NEVER;
   }
-  return { ...(at === undefined ? { moment: moment! } : { at }), fault: parsed.data };
+  return { ...(at === undefined ? { moment: moment!, after } : { at }), fault: parsed.data };
 });
 
 export const planSchema = z
--- a/packages/emulator/src/real/rig.ts
+++ b/packages/emulator/src/real/rig.ts
@@ -68,6 +68,8 @@
   private storeAddr: string | null = null;
   private adminPort = 0;
   private storePort = 0;
+  /** Where users reach the load balancer. */
+  private front = "";
   private users!: Users;
   private balancer!: Balancer;
   private began = performance.now();
@@ -162,8 +164,8 @@
     for (const name of names) await this.prepare(name, names, ports);
     this.balancer = new Balancer(this.fronts, this.luck);
     this.closers.push(() => this.balancer.close());
-    const addr = await this.balancer.start();
-    this.users = new Users(addr, () => this.clock.now(), this.history, this.luck);
+    this.front = await this.balancer.start();
+    this.users = new Users(this.front, () => this.clock.now(), this.history, this.luck);
     this.closers.push(() => this.users.close());
     for (const name of names) await this.startController(name);
     const until = this.clock.now() + 30_000;
@@ -248,6 +250,24 @@
     return this.users.jobs;
   }
 
+  /** How things stand, for a person or a script. */
+  status(): Record<string, unknown> {
+    const over = [...this.jobs.values()].filter(({ final }) => final !== null).length;
+    return {
+      seconds: Math.round(this.clock.now() / 1000),
+      balancer: this.front,
+      controllers: Object.fromEntries(this.fronts),
+      healthy: this.balancer.healthy,
+      machines: this.cloud.rented,
+      jobs: this.jobs.size,
+      over,
+      takeovers: this.takeovers,
+      broken: this.broken(),
+      reports: this.hosts.stats,
+      ended: this.ended,
+    };
+  }
+
   get reports(): WorkerHost["stats"] {
     return this.hosts.stats;
   }
--- a/packages/emulator/src/virtual/play.ts
+++ b/packages/emulator/src/virtual/play.ts
@@ -108,7 +108,7 @@
   };
   const pending = plan.fault.filter((one): one is Extract<PlannedFault, { moment: Moment }> => "moment" in one);
   const came = (moment: Moment): void => {
-    const i = pending.findIndex((one) => one.moment === moment);
+    const i = pending.findIndex((one) => one.moment === moment && world.clock.now() >= one.after * 1000);
     if (i < 0) return;
     const [{ fault }] = pending.splice(i, 1) as [(typeof pending)[number]];
     // Right after what was seen, not in the midst of it.
--- a/src/main.ts
+++ b/src/main.ts
@@ -156,6 +156,27 @@
     else await (await import("@thorntrail/emulator/entry")).rehearseReal({ plan, program: itself(), seed, report });
   });
 
+program
+  .command("emulator")
+  .description("a place to rehearse in by hand")
+  .command("serve")
+  .description("store, controllers, cloud and workers of a plan on this machine, until ended")
+  .argument("<plan>", "plan file (HCL); its work and faults are left out")
+  .requiredOption("--admin <address>", "where faults, jobs and status are taken, such as 127.0.0.1:7070")
+  .option("--seed <n>", "instead of the plan's", wholeNumber)
+  .action(async (plan: string, options: { admin: string; seed?: number }) =>
+    (await import("@thorntrail/emulator/entry")).emulatorServe({ plan, program: itself(), admin: options.admin, seed: options.seed }),
+  );
+program
+  .command("fault")
+  .description("have one fault happen in a running emulator, now")
+  .requiredOption("--emulator <address>", "its admin address")
+  .argument("<kind>", "such as restart, freeze, cut, lose; see docs/operations/rehearsals.md")
+  .argument("[fields...]", "such as target=leader for=10")
+  .action(async (kind: string, fields: string[], options: { emulator: string }) =>
+    print(await (await import("@thorntrail/emulator/entry")).faultCommand({ emulator: options.emulator, kind, fields })),
+  );
+
 /** Faults of commands, by name: their classes live in packages that are not loaded unless asked for. */
 const EXITS: Record<string, number> = { SettingsFault: 3, CommandFailed: 4, FolderError: 4 };
 
--- /dev/null
+++ b/test/rehearsal.test.ts
@@ -0,0 +1,216 @@
+import assert from "node:assert/strict";
+import { spawn, spawnSync } from "node:child_process";
+import { existsSync } from "node:fs";
+import { test } from "node:test";
+import { cases, loadPlan, parsePlan, planOf, playVirtual, shrink, type RehearsalPlan, type Report } from "@thorntrail/emulator/entry";
+import { decodeFault } from "@thorntrail/emulator/faults";
+import { Links } from "@thorntrail/emulator/links";
+import fc from "fast-check";
+import { momentOf } from "../src/rehearsal/moments.js";
+import { spawnController } from "../src/rehearsal/spawn.js";
+
+const base = await loadPlan("deploy/rehearsal.hcl");
+const play = (plan: RehearsalPlan, seed = 1): ReturnType<typeof playVirtual> =>
+  playVirtual({ plan, seed, spawn: spawnController, momentOf });
+
+function sound(report: Report): void {
+  assert.deepEqual(report.broken, [], report.plan);
+  assert.deepEqual(report.jobs.unfinished, [], report.plan);
+}
+
+test("the same seed plays the same rehearsal again", async () => {
+  const [one, two] = [await play(base, 5), await play(base, 5)];
+  assert.deepEqual(one, two);
+  assert.equal(one.takeovers, 1);
+  sound(one);
+});
+
+// The whole campaign is `thorntrail rehearse deploy/rehearsal.hcl --virtual --campaign 400`.
+test("a short campaign: every eleventh case of faults met with moments", async () => {
+  for (const one of cases(1).filter((_, i) => i % 11 === 0)) sound(await play(planOf(base, one)));
+});
+
+const fault = (raw: Record<string, unknown>, at: number): RehearsalPlan["fault"][number] => {
+  const decoded = decodeFault(raw);
+  if ("wrong" in decoded) throw new Error(decoded.wrong);
+  return { at, fault: decoded.fault };
+};
+
+test("hard case: a rental is executed after it was given up, by a controller that has died since", async () => {
+  const report = await play({
+    ...base,
+    fault: [
+      fault({ kind: "late", target: "all", by: "cloud", what: "hire", count: 3, ms: 30_000 }, 0),
+      fault({ kind: "restart", target: "leader", for: 40 }, 3),
+    ],
+  });
+  sound(report);
+});
+
+test("hard case: the store ends between applying and answering, and is asked again; then restarts under open watches", async () => {
+  const report = await play({
+    ...base,
+    fault: [
+      fault({ kind: "drop", target: "all", by: "state", what: "txn", count: 6 }, 20),
+      fault({ kind: "restart-store", for: 3 }, 20.2),
+      fault({ kind: "restart-store", for: 12 }, 50),
+    ],
+  });
+  sound(report);
+});
+
+test("hard case: lists without machines that run tasks, for longer than twice the lag, within a takeover", async () => {
+  const report = await play({
+    ...base,
+    fault: [
+      fault({ kind: "restart", target: "leader", for: 30 }, 30),
+      fault({ kind: "wrong", target: "all", by: "cloud", what: "list", form: "other", count: 8 }, 30),
+    ],
+  });
+  sound(report);
+  // A list that names nothing is not believed: no machine is given up for it.
+  const away = report.recoveries.find(({ reason }) => reason === "owner gone");
+  assert.ok(away !== undefined && away.fenced !== null && away.fenced < 12_000, JSON.stringify(report.recoveries));
+});
+
+test("hard case: two faults inside one takeover, a machine lost in an edition close that is still done in time", async () => {
+  const report = await play({
+    ...base,
+    fault: [
+      fault({ kind: "restart", target: "leader", for: 40 }, 30),
+      fault({ kind: "lose" }, 34),
+      fault({ kind: "restart-store", for: 2 }, 40),
+    ],
+  });
+  sound(report);
+  assert.equal(report.classes.find(({ name }) => name === "cierre")?.late, 0);
+});
+
+test("whatever faults are drawn, no rule breaks", async () => {
+  const drawn = fc.array(fc.tuple(fc.nat(cases(1).length - 1), fc.integer({ min: 5, max: 80 })), { minLength: 1, maxLength: 4 });
+  await fc.assert(
+    fc.asyncProperty(drawn, fc.nat(1000), async (chosen, seed) => {
+      const faults = chosen.map(([i, at]) => {
+        const [first] = planOf(base, cases(1)[i]!).fault;
+        return { at, fault: first!.fault };
+      });
+      // Work may still be under way when several long faults have met: rules may not break.
+      assert.deepEqual((await play({ ...base, fault: faults }, seed)).broken, []);
+    }),
+    { numRuns: 8, seed: 16 },
+  );
+});
+
+test("the shortest plan that still breaks is found", async () => {
+  const needed = (plan: RehearsalPlan): Promise<boolean> =>
+    Promise.resolve(plan.fault.some(({ fault: { kind } }) => kind === "lose") && plan.work.some(({ name }) => name === "fotos"));
+  const faults = ["restart", "lose", "sick", "freeze", "fail"].map((kind, i) => fault({ kind }, i));
+  const { plan, runs } = await shrink({ ...base, fault: faults }, needed, 100);
+  assert.deepEqual([plan.fault.map((one) => one.fault.kind), plan.work.map(({ name }) => name)], [["lose"], ["fotos"]]);
+  assert.ok(runs < 20);
+});
+
+test("links: what a cut held goes on its way in order; rules that meet so many calls meet no more", () => {
+  const links = new Links();
+  const call = { from: "nest-0", to: "state", what: "txn" };
+  const went: number[] = [];
+  const end = links.add({ from: "nest-0", to: "state", effect: { kind: "cut" } });
+  for (const n of [1, 2])
+    assert.equal(
+      links.hold(call, () => went.push(n)),
+      true,
+    );
+  assert.equal(links.blocked({ ...call, from: "state", to: "nest-0" }), true, "a cut has no direction");
+  assert.equal(links.blocked({ ...call, from: "nest-1" }), false);
+  end();
+  assert.deepEqual(went, [1, 2]);
+  links.add({ from: "*", to: "cloud", what: "hire", effect: { kind: "twice" }, count: 2 });
+  const hire = { from: "nest-1", to: "cloud", what: "hire" };
+  assert.deepEqual(
+    [links.judge({ ...hire, what: "list" }), links.judge(hire), links.judge(hire), links.judge(hire)],
+    [null, { kind: "twice" }, { kind: "twice" }, null],
+  );
+});
+
+test("plans and faults that are malformed are refused with file, place and what was expected", async () => {
+  const head = `seconds = 10\nteam {\n name = "t"\n}\nmachine {\n name = "m"\n cpus = 4\n ram = 4\n count = 2\n}\n`;
+  const work = `work {\n name = "w"\n team = "t"\n cpus = 1\n run = 1\n every = 1\n jobs = 1\n}\n`;
+  await parsePlan("p.hcl", head + work);
+  for (const [text, wrong] of [
+    [`${head}${work}fault {`, /p\.hcl/],
+    [`${head}${work.replace('"t"', '"x"')}`, /p\.hcl: work\.0\.team: expected one of t/],
+    [`${head}${work}fault {\n kind = "lose"\n}\n`, /fault\.0: expected either at/],
+    [`${head}${work}fault {\n at = 1\n kind = "explode"\n}\n`, /fault\.0/],
+    [`${head}${work}fault {\n at = 1\n kind = "lose"\n target = 3\n}\n`, /fault\.0\.target/],
+    [`${head}${work}weather = 1\n`, /weather/],
+    [work, /team/],
+  ] as const)
+    await assert.rejects(parsePlan("p.hcl", text), (error: Error) => wrong.test(error.message) && error.message.startsWith("p.hcl"));
+  assert.match((decodeFault({ kind: "explode" }) as { wrong: string }).wrong, /expected one of restart, freeze/);
+  assert.match((decodeFault({ kind: "freeze", for: -1 }) as { wrong: string }).wrong, /^for: /);
+  assert.match((decodeFault(null) as { wrong: string }).wrong, /expected one of/);
+});
+
+test("real processes: a place by hand, a fault by command, a job done, and nothing left behind", async () => {
+  const child = spawn(process.execPath, ["target/main.js", "emulator", "serve", "deploy/demo.hcl", "--admin", "127.0.0.1:0"], {
+    stdio: ["ignore", "pipe", "inherit"],
+    env: { ...process.env, LOG_LEVEL: "error" },
+  });
+  try {
+    const line = await new Promise<string>((resolve, reject) => {
+      child.stdout.once("data", (some: Buffer) => resolve(some.toString()));
+      child.once("exit", (code) => reject(new Error(`ended with ${code}`)));
+    });
+    const { admin, controllers } = JSON.parse(line) as { admin: string; controllers: Record<string, string> };
+    const run = (...args: string[]): ReturnType<typeof spawnSync> =>
+      spawnSync(process.execPath, ["target/main.js", ...args], { encoding: "utf8" });
+    const job = {
+      ...{
+        ref: "run-000001",
+        lane: "portal",
+        desk: "mesa-azuay",
+        shape: "sweep",
+        urgency: "urgent",
+        pieces: 2,
+        cpus: 1,
+        accelerators: 0,
+        ramGb: 1,
+      },
+      ...{
+        bundle: "b",
+        imageGb: 0.1,
+        builds: null,
+        yard: null,
+        samePlace: false,
+        spread: false,
+        loaner: false,
+        guessS: 1,
+        snapshotS: 0,
+        flushS: 0,
+      },
+    };
+    assert.equal(
+      (await fetch(`http://${admin}/jobs`, { method: "POST", headers: { "content-type": "application/json" }, body: JSON.stringify(job) }))
+        .status,
+      202,
+    );
+    const bad = run("fault", "--emulator", admin, "freeze", "for=long");
+    assert.equal(bad.status, 4);
+    assert.match(String(bad.stderr), /fault freeze: for: /);
+    const lost = run("fault", "--emulator", admin, "drop", "target=all", "by=state", "what=txn");
+    assert.equal(lost.status, 0, String(lost.stderr));
+    assert.deepEqual(JSON.parse(String(lost.stdout)), { kind: "drop", met: Object.keys(controllers) });
+    let status: { over: number; broken: string[]; ended: string[] } = { over: 0, broken: [], ended: [] };
+    for (let i = 0; i < 60 && status.over < 1; i++) {
+      await new Promise((resolve) => setTimeout(resolve, 500));
+      status = (await (await fetch(`http://${admin}/status`)).json()) as typeof status;
+    }
+    assert.deepEqual([status.over, status.broken, status.ended], [1, [], []]);
+    assert.match(String(run("show", "--node", Object.values(controllers)[0]!, "run-000001").stdout), /"done"/);
+  } finally {
+    const gone = new Promise((resolve) => child.once("exit", resolve));
+    child.kill("SIGTERM");
+    await gone;
+  }
+  assert.equal(existsSync(`/proc/${child.pid}`), false);
+});
