A quiet place's last job no longer stays for ever with the one machine that fails it

The machine is not set aside, since it failed no second job; the job is not held at fault, since it failed on no second machine; nothing is rented, since the machine has room. The job never ends.

Change: for what to rent, room on a machine where the job has failed more than twice for each waiting task is none for that job; the machine that is rented tells whose fault it is.

--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -83,7 +83,8 @@
     // Neither room nor an offer: nor for what needs more.
     if (noRoom.has(spec)) continue;
     const layOut = (task: JobSpec, count: number): number => {
-      const chosen = placeTasks(task, count, slots, zonesInUse(part, unit), NOBODY, false);
+      const room = unit.failedOn.size === 0 ? slots : slots.filter(({ machine }) => !failsThere(unit, machine.host));
+      const chosen = placeTasks(task, count, room, zonesInUse(part, unit), NOBODY, false);
       for (const slot of chosen) needed.add(slot.machine.host);
       return chosen.length;
     };
@@ -114,6 +115,18 @@
   return { wanted, needed };
 }
 
+/** Failures for each task that waits, after which a machine's room is none for this job. */
+const FAILS_OFTEN = 2;
+
+/**
+ * With one job left and one machine, nobody could tell whose fault it is: the machine
+ * has failed no other job, the job has failed nowhere else, and each would keep the other
+ * for ever. Another machine tells.
+ */
+function failsThere(unit: Unit, host: string): boolean {
+  return (unit.failedOn.get(host) ?? 0) > FAILS_OFTEN * unit.waiting.length;
+}
+
 const NOBODY: ReadonlyMap<string, number> = new Map();
 /** A call to the cloud rents no more than this many (PROTOCOL), so planning further is for nothing. */
 export const MOST_OF_AN_OFFER = 50;
--- a/test/rehearsal.test.ts
+++ b/test/rehearsal.test.ts
@@ -86,7 +86,7 @@
   assert.equal(report.classes.find(({ name }) => name === "cierre")?.late, 0);
 });
 
-test("whatever faults are drawn, no rule breaks", async () => {
+test("whatever faults are drawn, no rule breaks and all work is done", async () => {
   const drawn = fc.array(fc.tuple(fc.nat(cases(1).length - 1), fc.integer({ min: 5, max: 80 })), { minLength: 1, maxLength: 4 });
   await fc.assert(
     fc.asyncProperty(drawn, fc.nat(1000), async (chosen, seed) => {
@@ -94,13 +94,22 @@
         const [first] = planOf(base, cases(1)[i]!).fault;
         return { at, fault: first!.fault };
       });
-      // Work may still be under way when several long faults have met: rules may not break.
-      assert.deepEqual((await play({ ...base, fault: faults }, seed)).broken, []);
+      sound(await play({ ...base, fault: faults }, seed));
     }),
     { numRuns: 8, seed: 16 },
   );
 });
 
+test("the last job of a quiet place does not stay for ever with the one machine that fails it", async () => {
+  // Drawn by the test above: the machine had failed no other job, the job failed nowhere else, and nothing was rented.
+  const faults = [
+    fault({ kind: "fail" }, 25),
+    fault({ kind: "drop", target: "all", by: "state", what: "txn", count: 3 }, 27),
+    fault({ kind: "sick" }, 49),
+  ];
+  sound(await play({ ...base, fault: faults }, 7));
+});
+
 test("the shortest plan that still breaks is found", async () => {
   const needed = (plan: RehearsalPlan): Promise<boolean> =>
     Promise.resolve(plan.fault.some(({ fault: { kind } }) => kind === "lose") && plan.work.some(({ name }) => name === "fotos"));
