Read-through: wrong lists and seeded luck in one place each, dead members gone

Cause: the virtual and the real cloud each made their own wrong lists (older, ghosts, another request's), four places drew luck in the same two lines, and four members had no caller.

Change: CloudModel.wrongList and luck.ts serve both drivers; Processes.memoryOf, the gate's onCall, Recoveries.firstStart and Recovery.lost are removed. The real cloud's ghosts are now the first three machines gone after the name asked from, as the virtual one's were, instead of the last three.

--- a/packages/emulator/src/cloud-model.ts
+++ b/packages/emulator/src/cloud-model.ts
@@ -1,4 +1,5 @@
 import type { ListedMachine, MachineType, Offer } from "@thorntrail/protocol/cloud";
+import type { WrongForm } from "./links.js";
 
 /** Steady time for models, in ms; virtual or real. */
 export interface ModelClock {
@@ -31,6 +32,10 @@
 /** Charged at least, in seconds. */
 const LEAST_CHARGE_S = 60;
 
+/** Of lists that are wrong: how much older than usual, and how many machines that are gone. */
+const OLDER_MS = 20_000;
+const GHOSTS = 3;
+
 const keyOf = ({ type, zone, spot }: Offer): string => `${type}/${zone}/${spot ? "spot" : "ordinary"}`;
 
 /** The cloud of PROTOCOL: capacity, boots, prices, a list that lags and goes back, names that are answered again. */
@@ -154,4 +159,15 @@
     }
     return { machines, more: false };
   }
+
+  /** A list as no cloud should give it: much older than the last, with machines that are gone, or an answer to another request. */
+  wrongList(form: WrongForm, from: string | undefined, limit: number): { machines: ListedMachine[]; more: boolean } | undefined {
+    if (form === "older") return this.list(from, limit, OLDER_MS);
+    if (form === "other") return { machines: [], more: false };
+    if (form !== "ghost") return undefined;
+    const { machines, more } = this.list(from, limit);
+    const gone = [...this.machines.values()].filter((m) => m.goneAt !== null && (from === undefined || m.host > from)).slice(0, GHOSTS);
+    const ghosts = gone.map((m) => ({ host: m.host, addr: this.addrOf(m.host), ...m.offer, state: "running", ageS: 60 }));
+    return { machines: [...machines, ...ghosts].sort((a, b) => (a.host < b.host ? -1 : 1)), more };
+  }
 }
--- a/packages/emulator/src/real/gate.ts
+++ b/packages/emulator/src/real/gate.ts
@@ -23,8 +23,7 @@
   /** Null: no answer came. */
   execute: (passing: Passing) => Promise<Raw | null>;
   /** A wrong answer that only this service can give; undefined: none. */
-  spoil?: (passing: Passing, answer: Raw, form: WrongForm) => Raw | undefined;
-  onCall?: (passing: Passing, answer: Raw | null) => void;
+  spoil?: (passing: Passing, form: WrongForm) => Raw | undefined;
 }
 
 const wait = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
@@ -41,13 +40,12 @@
   if (effect?.kind === "refuse") return send(res, { status: 503, text: '{"error":"trouble"}', retryAfter: "1" });
   if (effect?.kind === "late") return void setTimeout(() => void options.execute(passing), effect.ms);
   const answer = await options.execute(passing);
-  options.onCall?.(passing, answer);
   if (effect?.kind === "twice") await options.execute(passing);
   if (effect?.kind === "drop" || links.blocked(call)) return;
   if (answer === null) return void req.destroy();
   if (effect?.kind !== "wrong") return send(res, answer);
   if (effect.form === "error-after") return send(res, { status: 500, text: '{"error":"internal"}', retryAfter: undefined });
-  const spoiled = options.spoil?.(passing, answer, effect.form);
+  const spoiled = options.spoil?.(passing, effect.form);
   if (spoiled !== undefined) return send(res, spoiled);
   // The length is said of the whole, and half of it comes.
   res.writeHead(answer.status, { "content-type": "application/json", "content-length": Buffer.byteLength(answer.text) });
--- a/packages/emulator/src/real/play.ts
+++ b/packages/emulator/src/real/play.ts
@@ -1,5 +1,4 @@
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { seeded } from "../luck.js";
 import { carryOut } from "../faults.js";
 import type { Timing } from "../place.js";
 import { submissions, type Planned, type RehearsalPlan } from "../plan.js";
@@ -46,8 +45,7 @@
 
 async function perform(rig: Rig, recoveries: Recoveries, trouble: string[], options: PlayOptions, seed: number): Promise<Report> {
   const { plan, progress } = options;
-  const generator = xoroshiro128plus(seed);
-  const planned = submissions(plan, () => uniformInt(generator, 0, 1_000_000) / 1_000_001);
+  const planned = submissions(plan, seeded(seed));
   const began = rig.clock.now();
   const faults: Report["faults"] = [];
   const byRef = new Map<string, Planned>(planned.map((one) => [one.spec.ref, one]));
--- a/packages/emulator/src/real/processes.ts
+++ b/packages/emulator/src/real/processes.ts
@@ -62,10 +62,6 @@
     this.running.get(name)?.kill(on ? "SIGSTOP" : "SIGCONT");
   }
 
-  memoryOf(name: string): number | undefined {
-    return this.running.get(name)?.pid;
-  }
-
   killAll(): void {
     for (const child of this.running.values()) child.kill("SIGKILL");
     this.running.clear();
--- a/packages/emulator/src/real/rig.ts
+++ b/packages/emulator/src/real/rig.ts
@@ -3,13 +3,12 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { stringify } from "smol-toml";
 import { brokenRules, type Happening, type Limits } from "../checker.js";
 import { CloudModel } from "../cloud-model.js";
 import type { Stage } from "../faults.js";
 import { Links } from "../links.js";
+import { seeded } from "../luck.js";
 import { platformOf, type Timing } from "../place.js";
 import type { Planned, RehearsalPlan } from "../plan.js";
 import { Balancer } from "./balancer.js";
@@ -76,8 +75,7 @@
   private closing = false;
 
   constructor(private readonly options: RigOptions) {
-    const generator = xoroshiro128plus(options.seed);
-    this.luck = () => uniformInt(generator, 0, 1_000_000) / 1_000_001;
+    this.luck = seeded(options.seed);
     const { types, capacity } = platformOf(options.plan, options.timing);
     this.cloud = new CloudModel(this.clock, {
       types,
@@ -204,7 +202,7 @@
       to: "cloud",
       what: (passing) => this.cloudFace.what(passing),
       execute: (passing) => this.cloudFace.execute(passing),
-      spoil: (passing, answer, form) => this.cloudFace.spoil(passing, answer, form),
+      spoil: (passing, form) => this.cloudFace.spoil(passing, form),
     });
     const known: Record<string, unknown>[] = [];
     for (const other of names) {
--- a/packages/emulator/src/real/services.ts
+++ b/packages/emulator/src/real/services.ts
@@ -50,7 +50,7 @@
     const { path, query } = pathOf(passing);
     const what = `${passing.method} ${path}`;
     if (what === "GET /machine_types") return json(200, { builds: this.model.types().map(encodeType) });
-    if (what === "GET /hosts") return this.list(query, 0);
+    if (what === "GET /hosts") return this.list(query)!;
     const body = objectOf(passing.body);
     if (what === "POST /hosts") {
       const { hire, build, yard, loaner, count } = body;
@@ -71,24 +71,17 @@
     return json(404, { error: "no such path" });
   }
 
-  private list(query: URLSearchParams, olderMs: number): Raw {
+  private list(query: URLSearchParams, form?: WrongForm): Raw | undefined {
     const limit = Math.min(MOST_LISTED, Number(query.get("limit") ?? MOST_LISTED));
-    const { machines, more } = this.model.list(query.get("from") ?? undefined, limit, olderMs);
-    return json(200, { hosts: machines.map(encodeListed), truncated: more });
+    const from = query.get("from") ?? undefined;
+    const listed = form === undefined ? this.model.list(from, limit) : this.model.wrongList(form, from, limit);
+    return listed === undefined ? undefined : json(200, { hosts: listed.machines.map(encodeListed), truncated: listed.more });
   }
 
-  spoil(passing: Passing, answer: Raw, form: WrongForm): Raw | undefined {
+  spoil(passing: Passing, form: WrongForm): Raw | undefined {
     const what = this.what(passing);
-    if (what === "list" && form === "older") return this.list(pathOf(passing).query, 20_000);
-    if (what === "list" && form === "ghost") {
-      const hosts = objectOf(answer.text)["hosts"] as Record<string, unknown>[];
-      const ghosts = [...this.model.machines.values()].filter((m) => m.goneAt !== null).slice(-3);
-      const listed = ghosts.map((m) =>
-        encodeListed({ host: m.host, addr: this.model.addrOf(m.host), ...m.offer, state: "running", ageS: 60 }),
-      );
-      return json(200, { hosts: [...hosts, ...listed].sort((a, b) => (String(a["ref"]) < String(b["ref"]) ? -1 : 1)), truncated: false });
-    }
-    if (form === "other") return json(200, what === "hire" ? { hosts: [] } : { hosts: [], truncated: false });
+    if (what === "list") return this.list(pathOf(passing).query, form);
+    if (form === "other") return json(200, { hosts: [] });
     return undefined;
   }
 }
--- a/packages/emulator/src/recovery.ts
+++ b/packages/emulator/src/recovery.ts
@@ -1,5 +1,3 @@
-import type { Happening } from "./checker.js";
-
 /**
  * How the cluster came back from each loss of a controller's part: told from what the
  * controllers log as spans, and from what is seen to start outside. Times in ms from
@@ -69,10 +67,4 @@
       this.open.delete(span.part);
     }
   }
-
-  /** From the loss until something started anywhere: what users feel. */
-  static firstStart(history: readonly Happening[], lostAt: number): number | null {
-    const on = history.find((event) => event.kind === "on" && event.at >= lostAt);
-    return on === undefined ? null : on.at - lostAt;
-  }
 }
--- a/packages/emulator/src/virtual/play.ts
+++ b/packages/emulator/src/virtual/play.ts
@@ -1,7 +1,6 @@
 import { encodeJob } from "@thorntrail/protocol/jobs";
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { brokenRules } from "../checker.js";
+import { seeded } from "../luck.js";
 import { carryOut, type Fault, type Stage } from "../faults.js";
 import { platformOf, USUAL } from "../place.js";
 import { submissions, type Moment, type PlannedFault, type RehearsalPlan } from "../plan.js";
@@ -92,8 +91,7 @@
     options.spawn,
   );
   const stage = virtualStage(world);
-  const generator = xoroshiro128plus(seed);
-  const planned = submissions(plan, () => uniformInt(generator, 0, 1_000_000) / 1_000_001);
+  const planned = submissions(plan, seeded(seed));
   const byRef = new Map(planned.map((one) => [one.spec.ref, one]));
   const recoveries = new Recoveries();
   const faults: Report["faults"] = [];
--- a/packages/emulator/src/virtual/service-links.ts
+++ b/packages/emulator/src/virtual/service-links.ts
@@ -157,16 +157,7 @@
       call(
         "list",
         () => model.list(from, limit),
-        (answer, form) => {
-          if (form === "older") return model.list(from, limit, 20_000);
-          // A machine listed that is gone.
-          if (form === "ghost") {
-            const gone = [...model.machines.values()].filter((m) => m.goneAt !== null && (from === undefined || m.host > from)).slice(0, 3);
-            const ghosts = gone.map((m) => ({ host: m.host, addr: model.addrOf(m.host), ...m.offer, state: "running", ageS: 60 }));
-            return { machines: [...answer.machines, ...ghosts].sort((a, b) => (a.host < b.host ? -1 : 1)), more: answer.more };
-          }
-          return form === "other" ? { machines: [], more: false } : undefined;
-        },
+        (_answer, form) => model.wrongList(form, from, limit),
       ),
   };
 }
--- a/packages/emulator/src/virtual/world.ts
+++ b/packages/emulator/src/virtual/world.ts
@@ -5,12 +5,11 @@
 import type { StateApi } from "@thorntrail/protocol/state";
 import type { CommandReply, Report, ReportAnswer, WorkerApi } from "@thorntrail/protocol/worker";
 import type { StoreLimits } from "@thorntrail/store/store";
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Subject } from "rxjs";
 import type { Happening, Limits } from "../checker.js";
 import { CloudModel, type CloudPlan } from "../cloud-model.js";
 import { Links } from "../links.js";
+import { seeded } from "../luck.js";
 import { Worker, type WorkerWorld } from "../worker-model.js";
 import { VirtualClock } from "./clock.js";
 import { NodeClock } from "./node-clock.js";
@@ -123,7 +122,8 @@
   private readonly saved = new Map<string, number>();
   private readonly slow = new Map<string, number>();
   private cloudDown = false;
-  private readonly luck;
+  /** Seeded luck. */
+  readonly random: () => number;
   private lives = 0;
   fetchMs = 1000;
 
@@ -131,7 +131,7 @@
     readonly plan: Plan,
     private readonly spawn: (asked: Spawned) => C,
   ) {
-    this.luck = xoroshiro128plus(plan.seed);
+    this.random = seeded(plan.seed);
     this.state = new VirtualState(this.clock, () => 2 + this.random() * 6, plan.state, this.links);
     this.state.seen = (node, what, detail) => this.seen$.next({ at: this.clock.now(), node, what, detail: { apply: detail } });
     const { types, capacity, boots } = plan;
@@ -150,10 +150,6 @@
       this.nodes.set(name, { name, controller: null, clock: null, incoming$: new Subject() });
   }
 
-  random(): number {
-    return uniformInt(this.luck, 0, 1_000_000) / 1_000_001;
-  }
-
   limits(): Limits {
     return { cancelMs: 43_000, teams: new Map(this.plan.teams.map((t) => [t.name, { cpus: t.cpus_max, gpus: t.gpus_max }])) };
   }
--- a/src/parts/recovery.ts
+++ b/src/parts/recovery.ts
@@ -82,8 +82,4 @@
     const { claimedAt: _claimedAt, ...said } = span;
     this.led.scope.log.info(said, "recovered");
   }
-
-  lost(part: number): void {
-    this.open.delete(part);
-  }
 }
