Processor time by duty, counted once, logged every few leases

Need: nobody could say what a controller spends its share of a core on; V8's profiler sees only long turns there. Change: Costs, carried by the scope: each duty's own time and turns, without that of duties called from within.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -73,7 +73,7 @@
     this.calls = calls;
     const service = stateThrough(around.state, calls, clock);
     const pace = { readGapMs: 3000 / (state.rps * share), blockMs: timing.contactMs / 4 };
-    this.mirror = new Mirror(service, clock, requests, pace, calls.of("state.read"));
+    this.mirror = new Mirror(service, clock, requests, pace, calls.of("state.read"), scope.costs);
     this.rentals = new Rentals(this.mirror);
     this.needs = new Needs(this.mirror);
     this.committer = new Committer(
@@ -85,6 +85,7 @@
       calls.of("state.txn"),
       { txnOps: state.txnOps, laneMs: timing.stateTimeoutMs / 20 },
       log,
+      scope.costs,
     );
     this.ownership = new Ownership({
       settings,
--- a/src/exchange/answers.ts
+++ b/src/exchange/answers.ts
@@ -30,7 +30,8 @@
     );
     probe.urgency = this.around.needs.urgency(query.job);
     const atOnce = new Map<string, number>();
-    const waits = estimateWaits(part, estimateContext(this.around), [probe], (unit) => unit === probe, atOnce);
+    const context = estimateContext(this.around);
+    const waits = this.around.scope.costs.spend("estimate", () => estimateWaits(part, context, [probe], (unit) => unit === probe, atOnce));
     const waitMs = waits.get(probe.key) ?? Infinity;
     const runMs = this.around.leader.history.expectS(job.spec) * 1000;
     const within = tasksWithin(job.spec, spareOf(this.around, part, job.spec.team));
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -61,7 +61,7 @@
     scope.routine(
       "exchange",
       () => settings.timing.reportMs / 5,
-      () => this.consider(),
+      () => scope.costs.spend("exchange", () => this.consider()),
     );
   }
 
@@ -102,7 +102,8 @@
       );
       if (candidates.length === 0) continue;
       const asked = new Set(candidates);
-      const waits = estimateWaits(part, estimateContext(this.around), [], (unit) => asked.has(unit));
+      const context = estimateContext(this.around);
+      const waits = this.around.scope.costs.spend("estimate", () => estimateWaits(part, context, [], (unit) => asked.has(unit)));
       for (const unit of candidates) {
         const wait = waits.get(unit.key) ?? Infinity;
         if (wait < tuningOf(this.around).phi * 1000) {
--- a/src/fleet/renting.ts
+++ b/src/fleet/renting.ts
@@ -55,7 +55,7 @@
     const now = this.around.scope.clock.now();
     const last = this.plans.get(part);
     if (last !== undefined && now - last.at < this.around.settings.timing.reportMs / 6) return last.plan;
-    const plan = this.layOut(part, now);
+    const plan = this.around.scope.costs.spend("planning", () => this.layOut(part, now));
     this.plans.set(part, { at: now, plan });
     return plan;
   }
--- a/src/ledger/committer.ts
+++ b/src/ledger/committer.ts
@@ -4,6 +4,7 @@
 import { NoReply } from "@thorntrail/protocol/errors";
 import type { Rate } from "@thorntrail/protocol/rate";
 import { OverRate, TooLarge, type Condition, type Op, type StateApi } from "@thorntrail/protocol/state";
+import { Costs } from "../platform/costs.js";
 import type { Log } from "../platform/log.js";
 import type { Mirror } from "./mirror.js";
 
@@ -81,6 +82,7 @@
     /** `laneMs`: a transaction that takes longer keeps others waiting no more. */
     private readonly limits: { txnOps: number; laneMs: number },
     private readonly log: Log,
+    private readonly costs = new Costs(),
   ) {}
 
   get backlog(): number {
@@ -128,7 +130,8 @@
     if (laneMs > 0) return this.pause(laneMs);
     // As many changes as there are writes for now: waiting until all that piled up
     // fits would keep the most urgent change waiting with it.
-    const batch = this.assemble(Math.min(this.limits.txnOps, Math.floor(this.writes.available())));
+    const most = Math.min(this.limits.txnOps, Math.floor(this.writes.available()));
+    const batch = this.costs.spend("transaction", () => this.assemble(most));
     if (batch === null) return this.queue.length > 0 ? this.pause(this.limits.laneMs) : undefined;
     const kept = Math.min(...batch.intents.map((intent) => this.keptFrom(intent)));
     const wait = Math.max(this.requests.waitMs(1), this.writes.waitMs(batch.apply.length + kept));
--- a/src/ledger/mirror.ts
+++ b/src/ledger/mirror.ts
@@ -1,6 +1,7 @@
 import { Subject } from "rxjs";
 import type { Clock } from "../platform/clock.js";
 import { sleep } from "../platform/clock.js";
+import { Costs } from "../platform/costs.js";
 import type { Rate } from "@thorntrail/protocol/rate";
 import type { StateApi, StateEvent } from "@thorntrail/protocol/state";
 import type { Caller } from "../calls/calls.js";
@@ -36,6 +37,7 @@
     private readonly pace: { readGapMs: number; blockMs: number },
     /** How long reads rest after one that failed. */
     private readonly calls: Caller,
+    private readonly costs = new Costs(),
   ) {}
 
   start(scope: Scope): void {
@@ -93,7 +95,10 @@
       this.loaded = false;
       return;
     }
-    for (const event of result.events) this.apply(event);
+    const { events } = result;
+    this.costs.spend("follow", () => {
+      for (const event of events) this.apply(event);
+    });
     if (result.ledger > this.position) this.position = result.ledger;
     this.provenAt = Math.max(this.provenAt, began);
   }
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -78,7 +78,7 @@
     this.scope.routine(
       "watchdog",
       () => this.settings.timing.reportMs / 5,
-      () => this.watch.look(),
+      () => this.scope.costs.spend("watch", () => this.watch.look()),
     );
   }
 
--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -27,7 +27,7 @@
     this.due = true;
     this.led.scope.clock.after(this.gapMs(), () => {
       this.due = false;
-      if (!this.led.scope.closed) this.pass();
+      if (!this.led.scope.closed) this.led.scope.costs.spend("pass", () => this.pass());
     });
   }
 
@@ -98,9 +98,11 @@
         bootMs: (machine: Machine) => this.bootMs(machine),
         reserveAfterMs: (klass: string) => this.reserveAfterMs(klass),
       };
-      const result = runPass(part, context);
+      const { costs } = this.led.scope;
+      const result = costs.spend("pass", () => runPass(part, context));
       const patienceMs = this.led.settings.operators.exchange.phi * PREEMPT_AFTER_PHI * 1000;
-      for (const placement of choosePreemptions(part, { ...context, ...claims, patienceMs })) {
+      const chosen = costs.spend("preemption", () => choosePreemptions(part, { ...context, ...claims, patienceMs }));
+      for (const placement of chosen) {
         const { spec } = placement.unit;
         placement.stop = { graceS: spec.checkpointS > 0 ? spec.flushS : 0 };
         this.led.stats.preemptions++;
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -85,7 +85,10 @@
             if (message.Hello.version !== PROTOCOL_VERSION) return drop(`version ${message.Hello.version}`);
             if (!this.settings.nodes.includes(message.Hello.node)) return drop("unknown node");
             from = message.Hello.node;
-          } else this.incoming$.next({ from, message });
+          } else {
+            const sender = from;
+            this.scope.costs.spend("peers", () => this.incoming$.next({ from: sender, message }));
+          }
         }
       } catch (error) {
         drop(`malformed: ${(error as Error).message}`);
--- a/src/platform/scope.ts
+++ b/src/platform/scope.ts
@@ -1,5 +1,6 @@
 import { Observable, Subject, takeUntil, type Subscription } from "rxjs";
 import { sleep, type Clock } from "./clock.js";
+import { Costs } from "./costs.js";
 import type { Log } from "./log.js";
 
 /**
@@ -13,10 +14,11 @@
   constructor(
     readonly clock: Clock,
     readonly log: Log,
+    readonly costs: Costs = new Costs(),
   ) {}
 
   child(): Scope {
-    const scope = new Scope(this.clock, this.log);
+    const scope = new Scope(this.clock, this.log, this.costs);
     this.onEnd(() => scope.close());
     return scope;
   }
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -19,6 +19,9 @@
 import { REPORT_PATH, serveReport, type ReportDoor } from "./workers/report-endpoint.js";
 import { HttpWorkers } from "./workers/worker-client.js";
 
+/** Leases between two lines on where the processor time went. */
+const COSTS_LEASES = 3;
+
 /** Runs one controller until the process is ended. */
 export function serve(settings: Settings): void {
   const log = openLog(settings.self);
@@ -51,11 +54,12 @@
   const reports: ReportDoor = {
     onReport: (report) => controller.leader.onReport(report),
     count: (status) => metrics.countAnswer(status),
+    costs: scope.costs,
   };
   const server = createServer((req, res) => {
     if (doors.crowded()) res.shouldKeepAlive = false;
     if (req.url === REPORT_PATH && req.method === "POST") serveReport(reports, req, res);
-    else app(req, res);
+    else scope.costs.spend("users", () => app(req, res));
   });
   // Peers, workers and clients close connections; we keep them, within the quota.
   server.keepAliveTimeout = 0;
@@ -69,6 +73,25 @@
   scope.onEnd(() => server.close());
   process.on("uncaughtException", (error) => log.error({ err: String(error.stack ?? error) }, "unexpected fault"));
   process.on("unhandledRejection", (reason) => log.error({ err: String((reason as Error)?.stack ?? reason) }, "unexpected rejection"));
+  const { costs } = scope;
+  const startMs = process.cpuUsage();
+  scope.routine(
+    "costs",
+    () => timing.leaseMs * COSTS_LEASES,
+    () => {
+      const { user, system } = process.cpuUsage();
+      const spent = Object.fromEntries(costs.all().map(({ duty, turns, ms }) => [duty, [turns, Math.round(ms)]]));
+      log.info(
+        {
+          userMs: Math.round(user / 1000),
+          systemMs: Math.round(system / 1000),
+          startMs: Math.round((startMs.user + startMs.system) / 1000),
+          spent,
+        },
+        "processor by duty",
+      );
+    },
+  );
   peers.start();
   controller.start();
   log.info({ parts: settings.nodes.length, timing }, "started");
--- a/src/workers/dispatch.ts
+++ b/src/workers/dispatch.ts
@@ -24,7 +24,7 @@
   ) {}
 
   start(): void {
-    this.scope.listen(this.leader.dispatch$, ({ part, machine }) => void this.send(part, machine));
+    this.scope.listen(this.leader.dispatch$, ({ part, machine }) => void this.scope.costs.spend("order", () => this.send(part, machine)));
   }
 
   private async send(part: Part, machine: Machine): Promise<void> {
--- a/src/workers/report-endpoint.ts
+++ b/src/workers/report-endpoint.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Costs } from "../platform/costs.js";
 import { type ReportAnswer, decodeReport, encodeOrders, type Report } from "@thorntrail/protocol/worker";
 
 export const REPORT_PATH = "/v1/report";
@@ -7,6 +8,7 @@
 export interface ReportDoor {
   onReport: (report: Report) => ReportAnswer;
   count: (status: number) => void;
+  costs: Costs;
 }
 
 function send(door: ReportDoor, res: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}): void {
@@ -37,7 +39,7 @@
     }
   });
   req.on("error", () => undefined);
-  req.on("end", () => {
+  const answer = (): void => {
     if (res.headersSent) return;
     let raw: unknown;
     try {
@@ -47,9 +49,10 @@
     }
     const report = decodeReport(raw);
     if (report === null) return send(door, res, 400, { error: "not a report" });
-    const answer = door.onReport(report);
-    if (answer.kind === "silent") return send(door, res, 503, { error: "not entitled to lead" }, { "retry-after": "1" });
-    if (answer.kind === "elsewhere") return send(door, res, 421, answer.boss === null ? {} : { boss: answer.boss });
-    send(door, res, 200, { baton: answer.token, orders: encodeOrders(answer.orders) });
-  });
+    const said = door.onReport(report);
+    if (said.kind === "silent") return send(door, res, 503, { error: "not entitled to lead" }, { "retry-after": "1" });
+    if (said.kind === "elsewhere") return send(door, res, 421, said.boss === null ? {} : { boss: said.boss });
+    send(door, res, 200, { baton: said.token, orders: encodeOrders(said.orders) });
+  };
+  req.on("end", () => door.costs.spend("report", answer));
 }
--- a/test/report-endpoint.test.ts
+++ b/test/report-endpoint.test.ts
@@ -2,6 +2,7 @@
 import { createServer, request } from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
+import { Costs } from "../src/platform/costs.js";
 import { serveReport } from "../src/workers/report-endpoint.js";
 
 const report = { host: "i-1", addr: "10.0.0.1:1", shift: 1, tick: 1, baton: 0, pieces: [] };
@@ -12,6 +13,7 @@
     serveReport(
       {
         count: () => undefined,
+        costs: new Costs(),
         onReport: ({ host }) => {
           seen.push(host);
           if (host === "i-2") return { kind: "elsewhere", boss: "nest-1" };
