Reports on bare connections beside Node's HTTP server

Need: hundreds of reports a second, each some dozen objects, streams and events in Node's HTTP server. Change: a lane on net for plain reports; anything else goes over to Node's server with its connection and what was read of it. Silent connections are closed after two leases: machines that died held a socket for ever.

--- a/src/platform/doors.ts
+++ b/src/platform/doors.ts
@@ -1,4 +1,4 @@
-import type { Server } from "node:http";
+import type { Server } from "node:net";
 
 /** Of the sockets: most connections that may come in, and how many make the place crowded. */
 const MOST = 0.85;
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -1,4 +1,5 @@
-import { createServer } from "node:http";
+import { createServer as createHttpServer } from "node:http";
+import { createServer } from "node:net";
 import { randomInt } from "node:crypto";
 import { Calls } from "./calls/calls.js";
 import { callPolicies } from "./calls/policy.js";
@@ -17,8 +18,11 @@
 import { clusterView } from "./status/view.js";
 import type { Settings } from "./settings/derived.js";
 import { REPORT_PATH, serveReport, type ReportDoor } from "./workers/report-endpoint.js";
+import { ReportLanes } from "./workers/report-lane.js";
 import { HttpWorkers } from "./workers/worker-client.js";
 
+/** Leases after which a silent connection is closed: whoever reports on it has none left by then. */
+const IDLE_LEASES = 2;
 /** Leases between two lines on where the processor time went. */
 const COSTS_LEASES = 3;
 
@@ -56,21 +60,28 @@
     count: (status) => metrics.countAnswer(status),
     costs: scope.costs,
   };
-  const server = createServer((req, res) => {
+  const others = createHttpServer((req, res) => {
     if (doors.crowded()) res.shouldKeepAlive = false;
     if (req.url === REPORT_PATH && req.method === "POST") serveReport(reports, req, res);
     else scope.costs.spend("users", () => app(req, res));
   });
   // Peers, workers and clients close connections; we keep them, within the quota.
-  server.keepAliveTimeout = 0;
+  others.keepAliveTimeout = 0;
+  // It does not listen itself, but has to watch over requests that do not come to an end.
+  others.emit("listening");
+  const server = createServer({ noDelay: true, allowHalfOpen: true });
   const doors = new Doors(server, deployment.quota.sockets);
+  new ReportLanes({ door: reports, others, crowded: () => doors.crowded(), scope, idleMs: timing.expiryMs * IDLE_LEASES }).start(server);
   server.on("error", (error) => {
     log.error({ front, err: error.message }, "cannot listen");
     process.exit(1);
   });
   const [host, port] = front.split(":") as [string, string];
   server.listen(Number(port), host);
-  scope.onEnd(() => server.close());
+  scope.onEnd(() => {
+    server.close();
+    others.close();
+  });
   process.on("uncaughtException", (error) => log.error({ err: String(error.stack ?? error) }, "unexpected fault"));
   process.on("unhandledRejection", (reason) => log.error({ err: String((reason as Error)?.stack ?? reason) }, "unexpected rejection"));
   const { costs } = scope;
