An HTTP client on net for orders, changes, reads and the cloud

Change: few connections to a host, one request at a time, answers read whole or in chunks however they are cut. What never left the process is refused, not unanswered: a start order to a machine that cannot be reached stays clearable.

--- /dev/null
+++ b/test/http.test.ts
@@ -0,0 +1,129 @@
+import assert from "node:assert/strict";
+import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
+import { test } from "node:test";
+import fc from "fast-check";
+import { NoReply } from "@thorntrail/protocol/errors";
+import { HttpClient } from "../src/platform/http.js";
+import { AnswerReader } from "../src/platform/http-reading.js";
+
+// The client on `net` must read any server's answer however it is cut, and must never take
+// one call's answer, or its silence, for another's.
+
+const chunked = (...parts: string[]): string =>
+  parts.map((part) => `${Buffer.byteLength(part).toString(16)}\r\n${part}\r\n`).join("") + "0\r\n\r\n";
+const ANSWERS: [string, number, string][] = [
+  ['HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{"é":1}', 200, '{"é":1}'],
+  [`HTTP/1.1 503 Busy\r\ntransfer-encoding: chunked\r\n\r\n${chunked('{"a"', ":2}")}`, 503, '{"a":2}'],
+  [`HTTP/1.1 200\r\nTransfer-Encoding: Chunked\r\n\r\n3;x=y\r\n{} \r\n0\r\nTrailer: 1\r\n\r\n`, 200, "{} "],
+  ["HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n", 204, ""],
+  ["HTTP/1.1 409 No\r\ncontent-length: 0\r\n\r\n", 409, ""],
+];
+
+test("an answer is read alike however the network cuts it", () => {
+  fc.assert(
+    fc.property(fc.constantFrom(...ANSWERS), fc.array(fc.nat(120), { maxLength: 6 }), ([text, status, body], cuts) => {
+      const bytes = Buffer.from(text);
+      const at = [0, ...cuts.map((cut) => Math.min(cut, bytes.length)).sort((a, b) => a - b), bytes.length];
+      const reader = new AnswerReader(1000);
+      for (let i = 1; i < at.length; i++) {
+        assert.ok(!reader.done || at[i] === at[i - 1] || at[i - 1] === bytes.length, "done before its end");
+        if (at[i]! > at[i - 1]!) reader.push(bytes.subarray(at[i - 1], at[i]));
+      }
+      assert.ok(reader.done);
+      assert.deepEqual([reader.status, reader.body, reader.closes], [status, body, false]);
+    }),
+    { seed: 1, numRuns: 2000 },
+  );
+});
+
+test("what is no answer, or too long, is refused and not waited for", () => {
+  for (const bad of [
+    "HTTP/2 200\r\n\r\n",
+    "SSH-2.0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+    "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n",
+    `HTTP/1.1 200 OK\r\nX: ${"y".repeat(40_000)}`,
+    `HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n${"z".repeat(1500)}`,
+  ])
+    assert.throws(() => new AnswerReader(1000).push(Buffer.from(bad)), Error, bad.slice(0, 60));
+});
+
+async function serving(
+  onRequest: (socket: Socket, request: string, n: number) => void,
+): Promise<{ addr: string; server: Server; connections: () => number }> {
+  let connections = 0;
+  let n = 0;
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    connections++;
+    socket.unref();
+    socket.on("error", () => undefined);
+    socket.on("data", (chunk: Buffer) => onRequest(socket, chunk.toString(), ++n));
+    socket.on("end", () => socket.end());
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  // A test that fails must not keep the run from ending.
+  server.unref();
+  return { addr: `127.0.0.1:${(server.address() as AddressInfo).port}`, server, connections: () => connections };
+}
+
+const ok = (text: string): string => `HTTP/1.1 200 OK\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
+const kindOf = (promise: Promise<unknown>): Promise<string> =>
+  promise.then(
+    () => "answered",
+    (error: unknown) => (error instanceof NoReply ? error.kind : String(error)),
+  );
+
+test("a connection serves call after call; no more are open to a host than allowed, the rest wait their turn", async () => {
+  let busy = 0;
+  let most = 0;
+  const { addr, server, connections } = await serving((socket, request) => {
+    most = Math.max(most, ++busy);
+    setTimeout(() => {
+      busy--;
+      socket.write(ok(`{"path":"${/^GET (\S+) /.exec(request)![1]}"}`));
+    }, 5);
+  });
+  const client = new HttpClient(2);
+  const paths = Array.from({ length: 12 }, (_, i) => `/p${i}`);
+  const replies = await Promise.all(paths.map((path) => client.call(addr, "GET", path, undefined, 1000)));
+  assert.deepEqual(
+    replies.map(({ body }) => body["path"]),
+    paths,
+  );
+  assert.deepEqual([most, connections()], [2, 2]);
+  server.close();
+});
+
+test("a late answer is never taken for the next call's; what was written and not answered may have acted", async () => {
+  const { addr, server, connections } = await serving((socket, _request, n) => {
+    if (n === 1) setTimeout(() => socket.write(ok('{"late":true}')), 60);
+    else if (n === 2) socket.write(ok('{"n":2}') + ok('{"too":"much"}'));
+    else if (n === 3) socket.write('HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{"cut', () => socket.destroy());
+    else if (n === 4) socket.end("HTTP/1.1 200 OK\r\n\r\n{}");
+    else socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\n[}");
+  });
+  const client = new HttpClient(1);
+  const ask = (): Promise<{ body: Record<string, unknown> }> => client.call(addr, "POST", "/x", {}, 40);
+  assert.equal(await kindOf(ask()), "unanswered");
+  assert.deepEqual((await ask()).body, { n: 2 });
+  assert.equal(await kindOf(ask()), "unanswered", "cut short");
+  assert.deepEqual((await ask()).body, {}, "ends with its connection");
+  assert.equal(await kindOf(ask()), "unanswered", "not JSON");
+  assert.equal(connections(), 5, "each of these ends its connection");
+  server.close();
+});
+
+test("what never left is refused: nobody listens, no turn in time, or not an address", async () => {
+  const { addr, server } = await serving(() => undefined);
+  const client = new HttpClient(1);
+  assert.equal(await kindOf(client.call("127.0.0.1:1", "GET", "/", undefined, 500)), "refused");
+  const both = [60, 30].map((ms) => kindOf(client.call(addr, "GET", "/", undefined, ms)));
+  assert.deepEqual(await Promise.all(both), ["unanswered", "refused"]);
+  for (const odd of ["", "nowhere", "h:99999", "h:1\r\nx: y", "a b:1"])
+    assert.equal(await kindOf(client.call(odd, "GET", "/", undefined, 500)), "refused", odd);
+  assert.equal(await kindOf(client.call(addr, "GET", "/a b", undefined, 500)), "refused");
+  server.close();
+});
