--- a/src/serve.ts
+++ b/src/serve.ts
@@ -5,7 +5,7 @@
 import { callPolicies } from "./calls/policy.js";
 import { Controller } from "./controller.js";
 import { HttpCloud } from "./fleet/cloud-client.js";
-import { buildApp } from "./intake/server.js";
+import { answersShortly, buildApp, type FrontDoor } from "./intake/server.js";
 import { HttpState } from "./ledger/state-client.js";
 import { PeerLinks } from "./peers/links.js";
 import { systemClock } from "./platform/clock.js";
@@ -47,14 +47,15 @@
   );
   const metrics = new Metrics(controller);
   scope.listen(controller.leader.began$, ({ klass, waitS }) => metrics.countWait(klass, waitS));
-  const app = buildApp({
+  const door: FrontDoor = {
     relay: controller.relay,
     unready: () => controller.unready(),
     count: (status) => metrics.countAnswer(status),
     shed: (path, status, why) => log.debug({ path, status, why }, "not taken"),
     view: () => clusterView(controller),
     metrics: () => metrics.text(),
-  });
+  };
+  const app = buildApp(door);
   const reports: ReportDoor = {
     onReport: (report) => controller.leader.onReport(report),
     count: (status) => metrics.countAnswer(status),
@@ -63,7 +64,10 @@
   const others = createHttpServer((req, res) => {
     if (doors.crowded()) res.shouldKeepAlive = false;
     if (req.url === REPORT_PATH && req.method === "POST") serveReport(reports, req, res);
-    else scope.costs.spend("users", () => app(req, res));
+    else
+      scope.costs.spend("users", () => {
+        if (!answersShortly(door, req, res)) app(req, res);
+      });
   });
   // Peers, workers and clients close connections; we keep them, within the quota.
   others.keepAliveTimeout = 0;
