Estimates keep what fits by shape of task, not by waiting gang

Need: editions are cut alike, yet every change of a machine cost a step for each waiting gang. Change: one table of what fits for each shape; sums of copies decide as sums of bounded copies did.

--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -47,56 +47,61 @@
   return Math.max(used.cpus / all.cpus, all.gpus > 0 ? used.gpus / all.gpus : 0);
 }
 
+/** More copies than any job has tasks. */
+const MOST_COPIES = 1e6;
+
 /**
- * A job of the queue while it is played forward. For gangs, which need room for
- * all at once, the copies each machine holds are kept, so that a machine that
- * changes costs one step and not a look at all the others.
+ * Where gangs of one size of task fit, kept up as rooms change. Editions are cut alike: were this
+ * kept for each waiting gang, every change of a machine would cost a step for each of them.
  */
-class Entry {
-  tasks: number;
-  private readonly held: Int32Array | null;
-  /** Of each room, whether the job may use it; looked at once. */
-  private readonly may: Uint8Array;
+class Shape {
+  private readonly held: Float64Array;
   private readonly perZone: Float64Array;
 
   constructor(
-    readonly unit: Unit,
+    private readonly spec: JobSpec,
     private readonly rooms: Room[],
     zones: number,
   ) {
-    this.tasks = unit.waiting.length;
+    this.held = new Float64Array(rooms.length);
     this.perZone = new Float64Array(zones);
-    this.may = new Uint8Array(rooms.length);
-    for (let i = 0; i < rooms.length; i++) this.may[i] = allowed(unit.spec, rooms[i]!.machine) ? 1 : 0;
-    this.held = unit.spec.kind === "gang" ? new Int32Array(rooms.length) : null;
-    if (this.held !== null) for (let i = 0; i < rooms.length; i++) this.review(i);
-  }
-
-  holds(room: Room): number {
-    return this.may[room.index] === 1 ? Math.min(this.tasks, copies(this.unit.spec, room.free)) : 0;
+    for (let i = 0; i < rooms.length; i++) {
+      if (allowed(spec, rooms[i]!.machine)) this.review(i);
+      else this.held[i] = -1;
+    }
   }
 
   /** Room number `i` has changed. */
   review(i: number): void {
-    if (this.held === null) return;
+    const before = this.held[i]!;
+    if (before < 0) return;
     const room = this.rooms[i]!;
-    const now = this.holds(room);
-    this.perZone[this.unit.spec.oneZone ? room.zone : 0]! += now - this.held[i]!;
+    const now = Math.min(MOST_COPIES, copies(this.spec, room.free));
+    this.perZone[this.spec.oneZone ? room.zone : 0]! += now - before;
     this.held[i] = now;
   }
 
-  /** The zone in which all of a gang fits now; -1: any zone will do; null: none. */
-  gangZone(): number | null {
-    if (!this.unit.spec.oneZone) return this.perZone[0]! >= this.tasks ? -1 : null;
-    const zone = this.perZone.findIndex((n) => n >= this.tasks);
+  /** The zone in which so many tasks fit now; -1: any zone will do; null: none. */
+  zoneFor(tasks: number): number | null {
+    if (!this.spec.oneZone) return this.perZone[0]! >= tasks ? -1 : null;
+    const zone = this.perZone.findIndex((n) => n >= tasks);
     return zone < 0 ? null : zone;
   }
 
-  heldBy(i: number): number {
-    return this.held === null ? 0 : this.held[i]!;
+  /** Tasks that room number `i` holds. */
+  in(i: number): number {
+    return Math.max(0, this.held[i]!);
   }
 }
 
+/** A job of the queue while it is played forward. */
+interface Entry {
+  unit: Unit;
+  tasks: number;
+  /** Of a gang, which needs room for all at once. */
+  shape: Shape | null;
+}
+
 /**
  * Plays the queue forward: machines free up as running tasks are expected to
  * end, booting ones count from when they should be up. Gives the wait in ms of
@@ -150,7 +155,14 @@
   let length = Math.min(queue.length, MAX_QUEUE);
   if (wanted !== null) while (length > 0 && !wanted(queue[length - 1]!)) length--;
   const waits = new Map<string, number>();
-  let left = queue.slice(0, length).map((unit) => new Entry(unit, rooms, Math.max(1, zones.size)));
+  const shapes = new Map<string, Shape>();
+  const shapeOf = (unit: Unit): Shape => {
+    let shape = shapes.get(unit.shape);
+    if (shape === undefined) shapes.set(unit.shape, (shape = new Shape(unit.spec, rooms, Math.max(1, zones.size))));
+    return shape;
+  };
+  const entryOf = (unit: Unit): Entry => ({ unit, tasks: unit.waiting.length, shape: unit.spec.kind === "gang" ? shapeOf(unit) : null });
+  let left = queue.slice(0, length).map(entryOf);
   let open = wanted === null ? left.length : left.filter((entry) => wanted(entry.unit)).length;
   const known = (entry: Entry, ms: number): void => {
     waits.set(entry.unit.key, ms);
@@ -162,20 +174,21 @@
     shift(room.free, spec, -n);
     entry.tasks -= n;
     insert(events, { at: due(at + expectMs(spec)), room, freed: spec, times: n });
-    for (const other of left) other.review(room.index);
+    for (const shape of shapes.values()) shape.review(room.index);
   };
   /** Places what it can of the entry; `only`: the machines that have changed. */
   const settle = (entry: Entry, at: number, only: Iterable<Room>): boolean => {
-    if (entry.unit.spec.kind === "gang") {
-      const zone = entry.gangZone();
+    const { shape } = entry;
+    if (shape !== null) {
+      const zone = shape.zoneFor(entry.tasks);
       if (zone === null) return false;
       for (let i = 0; i < rooms.length && entry.tasks > 0; i++) {
-        const n = Math.min(entry.tasks, entry.heldBy(i));
+        const n = Math.min(entry.tasks, shape.in(i));
         if (n > 0 && (zone < 0 || rooms[i]!.zone === zone)) take(rooms[i]!, entry, n, at);
       }
     } else {
       for (const room of only) {
-        const n = entry.holds(room);
+        const n = allowed(entry.unit.spec, room.machine) ? Math.min(entry.tasks, copies(entry.unit.spec, room.free)) : 0;
         if (n > 0) take(room, entry, n, at);
         if (entry.tasks === 0) break;
       }
@@ -200,9 +213,9 @@
     for (; i < events.length && events[i]!.at === at; i++) {
       const { room, freed, times } = events[i]!;
       shift(room.free, freed, times);
-      if (!changed.includes(room)) changed.push(room);
+      if (changed.at(-1) !== room && !changed.includes(room)) changed.push(room);
     }
-    for (const entry of left) for (const room of changed) entry.review(room.index);
+    for (const shape of shapes.values()) for (const room of changed) shape.review(room.index);
     let gone = 0;
     for (const entry of left) if (settle(entry, at, changed)) gone++;
     if (gone > 0) left = left.filter((entry) => entry.tasks > 0);
