--- a/src/fleet/returning.ts
+++ b/src/fleet/returning.ts
@@ -27,6 +27,23 @@
 const LATE_REPORTS = 1.6;
 const UNHEARD_REPORTS = 3;
 
+/** How many of a part's machines are in each state. */
+interface Tally {
+  unfenced: number;
+  /** Have shown this very term. */
+  answered: number;
+  late: number;
+}
+
+/** So few that they can be given up; if there are more, or few machines in all, it may be this node that cannot reach them. */
+function few(part: Part, n: number): boolean {
+  return n <= part.machines.size * UNHEARD_SHARE;
+}
+
+function unheard(machine: Machine, now: number, ms: number): boolean {
+  return machine.up && now - machine.heardAt > ms;
+}
+
 /** Returns machines; a machine's record goes only after the cloud has confirmed its end. */
 export class Returning {
   private readonly gone = new Map<string, Set<string>>();
@@ -47,15 +64,15 @@
     );
   }
 
-  private wantsReturn(part: Part, machine: Machine, needed: ReadonlySet<string>): string | null {
+  private wantsReturn(part: Part, machine: Machine, needed: ReadonlySet<string>, tally: Tally): string | null {
     const now = this.around.scope.clock.now();
     const type = this.around.leader.typeOf(machine.type);
     if (type === undefined || machine.deleting) return null;
     const { idle_per_boot, late_per_boot } = this.around.settings.operators.fleet;
     const bootMs = type.bootS * 1000;
     if (machine.lost) return "lost";
-    if (this.holdsUpFence(part, machine)) return "unheard while fencing";
-    if (part.phase === "serving" && this.seemsTaken(part, machine)) return machine.noticeAt === null ? "unheard and cheap" : "taken";
+    if (this.holdsUpFence(part, machine, tally)) return "unheard while fencing";
+    if (part.phase === "serving" && this.seemsTaken(part, machine, tally)) return machine.noticeAt === null ? "unheard and cheap" : "taken";
     if (!machine.up)
       return now - machine.hiredAt > Math.max(bootMs * late_per_boot, this.around.settings.timing.leaseMs) && machine.heardAt === -Infinity
         ? "never came up"
@@ -79,21 +96,26 @@
    * machine is more than a few; it alone goes once others have answered this very
    * term, which shows that it is not this node that is cut off.
    */
-  private holdsUpFence(part: Part, machine: Machine): boolean {
+  private holdsUpFence(part: Part, machine: Machine, tally: Tally): boolean {
     const { scope, settings } = this.around;
     if (part.phase !== "fencing" || machine.fenced || scope.clock.now() - part.since < settings.timing.leaseMs / 4) return false;
-    if (this.few(part, (other) => !other.fenced)) return true;
+    if (few(part, tally.unfenced)) return true;
     // Returned by the former leader, who could not write it down any more, or taken.
     if (this.absent(part, machine)) return true;
-    const others = [...part.machines.values()].filter((other) => other !== machine);
-    return others.every((other) => other.fenced) && others.filter((other) => other.token >= part.term).length >= LEAST_ANSWERS;
+    return tally.unfenced === 1 && tally.answered - Number(machine.token >= part.term) >= LEAST_ANSWERS;
   }
 
-  /** So few that they can be given up; if there are more, or few machines in all, it may be this node that cannot reach them. */
-  private few(part: Part, which: (machine: Machine) => boolean): boolean {
-    let n = 0;
-    for (const machine of part.machines.values()) if (which(machine)) n++;
-    return n <= part.machines.size * UNHEARD_SHARE;
+  /** One look at all machines of a part, for all of them. */
+  private tally(part: Part): Tally {
+    const tally = { unfenced: 0, answered: 0, late: 0 };
+    const { reportMs } = this.around.settings.timing;
+    const now = this.around.scope.clock.now();
+    for (const machine of part.machines.values()) {
+      if (!machine.fenced) tally.unfenced++;
+      if (machine.token >= part.term) tally.answered++;
+      if (unheard(machine, now, reportMs * LATE_REPORTS)) tally.late++;
+    }
+    return tally;
   }
 
   /**
@@ -102,14 +124,13 @@
    * given notice has little to lose; of those that have not, only a few are given up,
    * and only cheap ones, after some reports more.
    */
-  private seemsTaken(part: Part, machine: Machine): boolean {
+  private seemsTaken(part: Part, machine: Machine, tally: Tally): boolean {
     const { reportMs } = this.around.settings.timing;
     const now = this.around.scope.clock.now();
     if (!machine.up || machine.heardAt === -Infinity || now - part.since < reportMs * UNHEARD_REPORTS) return false;
-    const unheard = (other: Machine, reports: number): boolean => other.up && now - other.heardAt > reportMs * reports;
-    if (machine.noticeAt !== null) return unheard(machine, LATE_REPORTS);
+    if (machine.noticeAt !== null) return unheard(machine, now, reportMs * LATE_REPORTS);
     // All that are late count against it: a cut shows in one machine's reports first.
-    return machine.spot && unheard(machine, UNHEARD_REPORTS) && this.few(part, (other) => unheard(other, LATE_REPORTS));
+    return machine.spot && unheard(machine, now, reportMs * UNHEARD_REPORTS) && few(part, tally.late);
   }
 
   /** How much cheaper than the dearest machine this one is: the cheap may idle longer. */
@@ -124,8 +145,9 @@
     for (const part of [...this.around.leader.parts.values()]) {
       const leaving: Machine[] = [];
       const { needed } = this.renting.plan(part);
+      const tally = this.tally(part);
       for (const machine of part.machines.values()) {
-        const reason = this.wantsReturn(part, machine, needed);
+        const reason = this.wantsReturn(part, machine, needed, tally);
         if (reason === null || leaving.length >= MAX_DELETE) continue;
         machine.deleting = true;
         leaving.push(machine);
--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -1,6 +1,6 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { doneOf, fitting, keys, type JobRecord, type SliceRecord } from "../ledger/records.js";
+import { doneOf, fitting, keys, type JobRecord } from "../ledger/records.js";
 import type { Scope } from "../platform/scope.js";
 import type { Leader } from "../parts/leader.js";
 import type { Needs } from "../pipelines/needs.js";
@@ -164,9 +164,7 @@
     let running = 0;
     if (fate === undefined) {
       if (job.hi < total) {
-        for (const [key, entry] of this.mirror.rows<SliceRecord>(keys.slices)) {
-          if (key.startsWith(`${keys.slices}${ref}/`)) done += doneOf(entry.v, entry.v.hi - entry.v.lo).count;
-        }
+        for (const [, { v }] of this.mirror.slicesOf(ref)) done += doneOf(v, v.hi - v.lo).count;
       }
       for (const part of this.leader.parts.values()) {
         for (const unit of part.byRef.get(ref) ?? []) for (const p of unit.placed.values()) if (p.state === "running") running++;
--- a/src/ledger/mirror.ts
+++ b/src/ledger/mirror.ts
@@ -7,7 +7,7 @@
 import type { Caller } from "../calls/calls.js";
 import { NoReply } from "@thorntrail/protocol/errors";
 import type { Scope } from "../platform/scope.js";
-import { keys } from "./records.js";
+import { keys, type SliceRecord } from "./records.js";
 
 export interface Entry<T> {
   v: T;
@@ -16,10 +16,16 @@
 
 const PAGE = 500;
 
+function refOfSlice(key: string): string {
+  return key.slice(keys.slices.length, key.lastIndexOf("/"));
+}
+
 /** A copy of all records, kept up by `/follow`; knows how old it may be. */
 export class Mirror {
   readonly changes$ = new Subject<string>();
   private readonly tables = new Map<string, Map<string, Entry<unknown>>>();
+  /** Keys of slices by their job: asked for with every task that is done, among thousands of slices. */
+  private readonly slices = new Map<string, Set<string>>();
   private readonly removed = new Map<string, number>();
   private position = -1;
   /** The mirror holds all that was in the store at this steady time. */
@@ -152,6 +158,7 @@
     const known = table.get(key)?.stamp ?? this.removed.get(key) ?? -1;
     if (stamp <= known) return;
     table.set(key, { v, stamp });
+    if (key.startsWith(keys.slices)) this.noteSlice(key);
     this.removed.delete(key);
     this.changes$.next(key);
   }
@@ -161,6 +168,7 @@
     const entry = table.get(key);
     if (entry !== undefined && entry.stamp >= stamp) return;
     table.delete(key);
+    if (key.startsWith(keys.slices)) this.forgetSlice(key);
     this.removed.set(key, stamp);
     if (this.removed.size > 20_000) this.removed.delete(this.removed.keys().next().value as string);
     if (entry !== undefined) this.changes$.next(key);
@@ -178,6 +186,26 @@
     return this.table(prefix) as Map<string, Entry<T>>;
   }
 
+  private noteSlice(key: string): void {
+    const ref = refOfSlice(key);
+    const known = this.slices.get(ref);
+    if (known === undefined) this.slices.set(ref, new Set([key]));
+    else known.add(key);
+  }
+
+  private forgetSlice(key: string): void {
+    const ref = refOfSlice(key);
+    const known = this.slices.get(ref);
+    known?.delete(key);
+    if (known?.size === 0) this.slices.delete(ref);
+  }
+
+  /** Of a job that has them, all slices but the first, which is the job's own record. */
+  slicesOf(ref: string): [string, Entry<SliceRecord>][] {
+    const table = this.rows<SliceRecord>(keys.slices);
+    return [...(this.slices.get(ref) ?? [])].map((key) => [key, table.get(key)!]);
+  }
+
   ageMs(): number {
     return this.clock.now() - this.provenAt;
   }
--- a/src/parts/holdings.ts
+++ b/src/parts/holdings.ts
@@ -187,7 +187,7 @@
   }
 
   private reviewSlices(ref: string): void {
-    for (const key of this.mirror.rows(keys.slices).keys()) if (key.startsWith(`${keys.slices}${ref}/`)) this.reviewWork(key);
+    for (const [key] of this.mirror.slicesOf(ref)) this.reviewWork(key);
   }
 
   private endUnit(part: Part, unit: Unit): void {
--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -11,6 +11,16 @@
 /** Passes over no more machines than this come as often as events do. */
 const FEW_MACHINES = 20;
 
+/** Aims are the same for all jobs of a class, of which a queue has hundreds. */
+function once(read: (klass: string) => number): (klass: string) => number {
+  const known = new Map<string, number>();
+  return (klass) => {
+    const value = known.get(klass) ?? read(klass);
+    known.set(klass, value);
+    return value;
+  };
+}
+
 /** Placement passes over the parts this node leads. */
 export class Placing {
   private due = false;
@@ -39,11 +49,12 @@
   }
 
   order(): LocalOrder {
+    const { platform } = this.led.settings;
     return localOrder({
       mode: this.led.settings.operators.queue.order,
       nowWall: this.led.scope.clock.wall(),
-      finishS: (klass) => aimS(this.led.settings.platform, "finished", klass),
-      startS: (klass) => aimS(this.led.settings.platform, "wait", klass),
+      finishS: once((klass) => aimS(platform, "finished", klass)),
+      startS: once((klass) => aimS(platform, "wait", klass)),
       expectS: (unit) => this.led.history.expectS(unit.spec),
       guaranteed: (unit) => this.guarantees.within(unit.spec.ref),
     });
--- a/src/parts/progress.ts
+++ b/src/parts/progress.ts
@@ -74,9 +74,7 @@
     const spec = this.mirror.get<JobRecord>(keys.job(ref))!.v;
     if (spec.hi >= spec.spec.tasks) return true;
     let covered = spec.hi;
-    for (const [key, entry] of this.mirror.rows<SliceRecord>(keys.slices)) {
-      if (!key.startsWith(`${keys.slices}${ref}/`)) continue;
-      const slice = entry.v;
+    for (const [, { v: slice }] of this.mirror.slicesOf(ref)) {
       if (!doneOf(slice, slice.hi - slice.lo).full) return false;
       covered += slice.hi - slice.lo;
     }
@@ -96,9 +94,7 @@
     const job = this.mirror.get<JobRecord>(keys.job(ref));
     if (job === undefined) return null;
     if (task < job.v.hi) return { lo: 0, record: job.v };
-    for (const [key, entry] of this.mirror.rows<SliceRecord>(keys.slices)) {
-      if (key.startsWith(`${keys.slices}${ref}/`) && task >= entry.v.lo && task < entry.v.hi) return { lo: entry.v.lo, record: entry.v };
-    }
+    for (const [, { v }] of this.mirror.slicesOf(ref)) if (task >= v.lo && task < v.hi) return { lo: v.lo, record: v };
     return null;
   }
 }
--- a/src/parts/watch.ts
+++ b/src/parts/watch.ts
@@ -42,6 +42,8 @@
   }
 
   reviewFence(part: Part): void {
+    // The one found missing last mostly still is: a report must not cost a look at all machines.
+    if (part.machines.get(this.waitsFor.get(part) ?? "")?.fenced === false) return;
     for (const machine of part.machines.values()) {
       if (machine.fenced) continue;
       this.waitsFor.set(part, machine.host);
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -108,7 +108,9 @@
     for (let line = host.idle.pop(); line !== undefined; line = host.idle.pop()) {
       this.idle--;
       // Closed a moment ago, and not yet said so.
-      if (!line.socket.destroyed) return line;
+      if (line.socket.destroyed) continue;
+      line.socket.ref();
+      return line;
     }
     return null;
   }
@@ -198,6 +200,8 @@
     else if (host.idle.length < MOST_IDLE_TO_ONE && this.idle < this.mostIdle) {
       host.idle.push(line);
       this.idle++;
+      // Kept for the next call, not to keep a process alive that has none: a command would never return.
+      line.socket.unref();
     } else line.socket.destroy();
   }
 
--- a/test/front-door.test.ts
+++ b/test/front-door.test.ts
@@ -55,7 +55,8 @@
     const paths = ["/up", "/up?x", "/cluster", "/nowhere", ...refs.map((ref) => `/v2/runs/${ref}`)];
     try {
       for (const method of ["GET", "POST"])
-        for (const path of paths) assert.equal(await ask(servers[1]!, method, path), await ask(servers[0]!, method, path), `${method} ${path}`);
+        for (const path of paths)
+          assert.equal(await ask(servers[1]!, method, path), await ask(servers[0]!, method, path), `${method} ${path}`);
       assert.deepEqual(shed[1], shed[0]);
       assert.equal(short, 5, "only what is spelled plainly");
     } finally {
