--- a/test/growth.test.ts
+++ b/test/growth.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import fc from "fast-check";
 import { planHires } from "../src/fleet/plan.js";
 import type { MachineType } from "@thorntrail/protocol/cloud";
 import { nextAttempt, usageByTeam, type Part } from "../src/parts/part.js";
@@ -91,6 +92,50 @@
   assert.equal(waits.get(large.key), Infinity);
 });
 
+/** Gangs of one size of task on machines alike, first come with backfilling: nothing but places counts. */
+function plainWaits(places: number, gangs: { tasks: number; runS: number }[]): number[] {
+  const waits = gangs.map(() => Infinity);
+  const ends: { at: number; tasks: number }[] = [];
+  let free = places;
+  for (let at: number | undefined = 0; at !== undefined; at = ends.length === 0 ? undefined : Math.min(...ends.map((end) => end.at))) {
+    for (let i = ends.length - 1; i >= 0; i--) if (ends[i]!.at === at) free += ends.splice(i, 1)[0]!.tasks;
+    gangs.forEach(({ tasks, runS }, i) => {
+      if (waits[i] !== Infinity || tasks > free) return;
+      waits[i] = at! * 1000;
+      free -= tasks;
+      ends.push({ at: at! + runS, tasks });
+    });
+  }
+  return waits;
+}
+
+// What fits is kept by shape of task for all gangs alike; it must tell what a look at each would.
+test("waits of gangs cut alike are those of a plain count of places", () => {
+  const gang = fc.record({ tasks: fc.integer({ min: 1, max: 14 }), runS: fc.integer({ min: 1, max: 90 }) });
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1, max: 12 }),
+      fc.constantFrom(16, 32, 47),
+      fc.array(gang, { minLength: 1, maxLength: 25 }),
+      (n, cpus, gangs) => {
+        const { part } = partOf(n, { cpus, gpus: 0, ram: 640 });
+        const units = gangs.map(({ tasks, runS }, i) =>
+          queueUp(part, specOf({ ref: `run-${String(i).padStart(6, "0")}`, kind: "gang", tasks, cpus: 15, guessS: runS })),
+        );
+        const waits = estimateWaits(part, {
+          ...{ now: NOW, silentMs: 5000, order, history: new RunHistory("owner"), bootMs: () => 0 },
+          ...{ preemptAfterMs: 1000, guaranteed: () => false, excess: new Map() },
+        });
+        assert.deepEqual(
+          units.map((unit) => waits.get(unit.key)),
+          plainWaits(n * Math.floor(cpus / 15), gangs),
+        );
+      },
+    ),
+    { seed: 1, numRuns: 200 },
+  );
+});
+
 test("room is kept for a gang that has waited, but not from what will be gone in time", () => {
   const { part } = partOf(3, { cpus: 16, gpus: 0, ram: 64 });
   const running = queueUp(part, specOf({ tasks: 1, cpus: 15 }));
