--- /dev/null
+++ b/measure/costs.ts
@@ -0,0 +1,20 @@
+import { options, progress, report } from "./harness.js";
+import { bareMs, starts } from "./start.js";
+
+/** Where processor time and memory go. `--against DIR`: beside another checkout, built, in turn. */
+const at = process.argv.indexOf("--against");
+const against = at < 0 ? null : process.argv.splice(at, 2)[1]!;
+const given = options({ repeats: 15, quickRepeats: 5 });
+
+const bare = bareMs(given.repeats);
+const here = await starts(".", given.repeats);
+const there = against === null ? null : await starts(against, given.repeats);
+progress(
+  `start: bare runtime ${bare.toFixed(0)} ms, first answer ${here.firstMs.toFixed(0)} ms, first submission ${here.submissionMs.toFixed(0)} ms`,
+);
+report("costs", given, {
+  bare_ms: bare,
+  start_first_answer_ms: here.firstMs,
+  start_submission_ms: here.submissionMs,
+  ...(there === null ? {} : { before_first_answer_ms: there.firstMs, before_submission_ms: there.submissionMs }),
+});
--- /dev/null
+++ b/measure/start.ts
@@ -0,0 +1,87 @@
+import { spawn, spawnSync } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { connect } from "node:net";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+import { performance } from "node:perf_hooks";
+import { parse, stringify } from "smol-toml";
+import { platformOf, USUAL } from "../packages/emulator/src/place.js";
+import { loadPlan } from "../packages/emulator/src/entry.js";
+import { median } from "./harness.js";
+
+/** Processor time of a process so far, in ms, as the kernel counts it. */
+export function processorMs(pid: number): number {
+  return Number(readFileSync(`/proc/${pid}/schedstat`, "utf8").split(" ")[0]) / 1e6;
+}
+
+/** The words of `run` in a checkout's deploy file, without the path of the settings. */
+export function runOf(dir: string): string[] {
+  const { run } = parse(readFileSync(join(dir, "deploy/service.toml"), "utf8")) as { run: string };
+  const [, ...words] = run.split(/\s+/);
+  return words;
+}
+
+/** One request on a connection of its own; resolves with the status, null if there was no answer. */
+function ask(port: number, text: string): Promise<number | null> {
+  return new Promise((resolve) => {
+    const socket = connect({ host: "127.0.0.1", port });
+    socket.on("connect", () => socket.write(text));
+    socket.on("data", (chunk: Buffer) => {
+      resolve(Number(chunk.toString("latin1", 9, 12)));
+      socket.destroy();
+    });
+    socket.on("error", () => resolve(null));
+    socket.on("close", () => resolve(null));
+  });
+}
+
+const UP = "GET /up HTTP/1.1\r\nhost: a\r\n\r\n";
+const BODY = JSON.stringify({ ref: "run-000001" });
+const SUBMIT = `POST /v2/runs HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\ncontent-length: ${BODY.length}\r\n\r\n${BODY}`;
+const PORT = 18_080;
+
+export interface Started {
+  /** Until the first answer to a health check, and to a submission; ms of the processor. */
+  firstMs: number;
+  submissionMs: number;
+}
+
+/** Starts the controller of a checkout alone, its services refusing, `repeats` times. */
+export async function starts(dir: string, repeats: number): Promise<Started> {
+  const place = mkdtempSync(join(tmpdir(), "thorntrail-start-"));
+  const config = join(place, "settings.toml");
+  const { deployment } = platformOf(await loadPlan("deploy/rehearsal.hcl"), USUAL);
+  const known = [{ host_name: "nest-1", area: "a", peer_addr: "127.0.0.1:1" }];
+  const endpoints = { cloud: "127.0.0.1:1", state: "127.0.0.1:1" };
+  const settings = { host_name: "nest-0", area: "a", front: `127.0.0.1:${PORT}`, peer_listen: `127.0.0.1:${PORT + 1}`, known, endpoints };
+  writeFileSync(config, stringify({ ...settings, deployment }));
+  const first: number[] = [];
+  const submission: number[] = [];
+  for (let i = 0; i < repeats; i++) {
+    const child = spawn(process.execPath, [...runOf(dir), config], { cwd: resolve(dir), stdio: "ignore" });
+    const until = performance.now() + 20_000;
+    const answered = async (text: string): Promise<number> => {
+      while ((await ask(PORT, text)) === null) {
+        if (performance.now() > until) throw new Error(`${dir}: no answer from a started controller`);
+        await new Promise((resolve) => setTimeout(resolve, 5));
+      }
+      return processorMs(child.pid!);
+    };
+    first.push(await answered(UP));
+    submission.push(await answered(SUBMIT));
+    child.kill("SIGKILL");
+    await new Promise((resolve) => child.once("exit", resolve));
+  }
+  rmSync(place, { recursive: true });
+  return { firstMs: median(first), submissionMs: median(submission) };
+}
+
+/** Processor time of a runtime that does nothing, in ms. */
+export function bareMs(repeats: number): number {
+  const times: number[] = [];
+  for (let i = 0; i < repeats; i++) {
+    const code = "process.stdout.write(String(require('fs').readFileSync('/proc/self/schedstat','utf8').split(' ')[0]/1e6))";
+    times.push(Number(spawnSync(process.execPath, ["-e", code], { encoding: "utf8" }).stdout));
+  }
+  return median(times);
+}
--- a/packages/emulator/src/entry.ts
+++ b/packages/emulator/src/entry.ts
@@ -15,3 +15,5 @@
 export { shrink } from "./shrink.js";
 export { loadPlan, parsePlan, type Moment, type RehearsalPlan } from "./plan.js";
 export { Spread, type Report } from "./report.js";
+export { BRISK } from "./place.js";
+export { playReal } from "./real/play.js";
--- a/packages/protocol/src/jobs.ts
+++ b/packages/protocol/src/jobs.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 export type Urgency = "critical" | "urgent" | "normal" | "low";
 export type JobKind = "array" | "gang" | "service";
--- a/packages/protocol/src/state-wire.ts
+++ b/packages/protocol/src/state-wire.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Bounds that the protocol sets for every state service, whatever its settings. Sizes in bytes, times in ms. */
 export const STATE_BOUNDS = {
--- a/packages/protocol/src/worker.ts
+++ b/packages/protocol/src/worker.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 export type TaskState = "fetching" | "gathering" | "running" | "saving" | "exited";
 export type ExitCause = "done" | "stopped" | "mates_gone" | "alone" | "error" | "no_room" | "busy" | "no_such";
--- a/src/intake/server.ts
+++ b/src/intake/server.ts
@@ -1,10 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import express, { type ErrorRequestHandler, type Express } from "express";
 import type { Response } from "./jobs.js";
 import type { Relay } from "./relay.js";
 
-const MAX_BODY = 64 * 1024;
-
 export interface FrontDoor {
   relay: Relay;
   /** Null: this node can take requests; otherwise why it cannot. */
@@ -17,7 +14,7 @@
 }
 
 /** Answers a request, and says of it what the figures and the log need. */
-function send(door: FrontDoor, res: ServerResponse, { status, body, retryAfterS }: Response): void {
+export function send(door: FrontDoor, res: ServerResponse, { status, body, retryAfterS }: Response): void {
   if (res.headersSent || res.destroyed) return;
   door.count(status);
   const retry = retryAfterS === undefined ? {} : { "retry-after": String(retryAfterS) };
@@ -27,7 +24,7 @@
   res.end(text);
 }
 
-const FAULT: Response = { status: 503, body: { error: "internal fault" }, retryAfterS: 1 };
+export const FAULT: Response = { status: 503, body: { error: "internal fault" }, retryAfterS: 1 };
 const POLL = /^\/v2\/runs\/([A-Za-z0-9._-]+)$/;
 
 /**
@@ -50,34 +47,7 @@
   return true;
 }
 
-function readiness(door: FrontDoor): Response {
+export function readiness(door: FrontDoor): Response {
   const reason = door.unready();
   return reason === null ? { status: 200, body: { ok: true } } : { status: 503, body: { error: reason }, retryAfterS: 1 };
 }
-
-/** The HTTP face for users and health checks. */
-export function buildApp(door: FrontDoor): Express {
-  const app = express();
-  app.disable("x-powered-by");
-  app.disable("etag");
-  app.set("query parser", "simple");
-  const body = express.json({ limit: MAX_BODY, type: () => true, strict: false, inflate: false });
-
-  app.get("/v2/runs/:ref", async (req, res) => send(door, res, await door.relay.answer("poll", req.params.ref)));
-  app.post("/v2/runs", body, async (req, res) => send(door, res, await door.relay.answer("submit", req.body)));
-  app.post("/v2/runs/:ref/cancel", async (req, res) => send(door, res, await door.relay.answer("cancel", req.params.ref)));
-  app.get("/up", (_req, res) => send(door, res, readiness(door)));
-  app.get("/cluster", (_req, res) => send(door, res, { status: 200, body: door.view() }));
-  app.get("/metrics", async (_req, res) => {
-    res.type("text/plain").send(await door.metrics());
-  });
-  app.use((_req, res) => send(door, res, { status: 404, body: { error: "no such path" } }));
-  const fault: ErrorRequestHandler = (error, _req, res, next) => {
-    if (res.headersSent) return next(error);
-    const status = Number(error?.status);
-    const bad = status >= 400 && status < 500;
-    send(door, res, bad ? { status: 400, body: { error: String(error.message).slice(0, 200) } } : FAULT);
-  };
-  app.use(fault);
-  return app;
-}
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -5,7 +5,7 @@
 import { callPolicies } from "./calls/policy.js";
 import { Controller } from "./controller.js";
 import { HttpCloud } from "./fleet/cloud-client.js";
-import { answersShortly, buildApp, type FrontDoor } from "./intake/server.js";
+import { answersShortly, type FrontDoor } from "./intake/server.js";
 import { HttpState } from "./ledger/state-client.js";
 import { PeerLinks } from "./peers/links.js";
 import { systemClock } from "./platform/clock.js";
@@ -26,6 +26,12 @@
 /** Leases between two lines on where the processor time went. */
 const COSTS_LEASES = 3;
 
+/** Made when it is asked for, once. */
+function later<T>(make: () => Promise<T>): () => Promise<T> {
+  let made: Promise<T> | null = null;
+  return () => (made ??= make());
+}
+
 /** Runs one controller until the process is ended. */
 export function serve(settings: Settings): void {
   const log = openLog(settings.self);
@@ -55,7 +61,7 @@
     view: () => clusterView(controller),
     metrics: () => metrics.text(),
   };
-  const app = buildApp(door);
+  const app = later(async () => (await import("./intake/app.js")).buildApp(door));
   const reports: ReportDoor = {
     onReport: (report) => controller.leader.onReport(report),
     count: (status) => metrics.countAnswer(status),
@@ -66,7 +72,7 @@
     if (req.url === REPORT_PATH && req.method === "POST") serveReport(reports, req, res);
     else
       scope.costs.spend("users", () => {
-        if (!answersShortly(door, req, res)) app(req, res);
+        if (!answersShortly(door, req, res)) void app().then((handle) => handle(req, res));
       });
   });
   // Peers, workers and clients close connections; we keep them, within the quota.
@@ -110,4 +116,6 @@
   peers.start();
   controller.start();
   log.info({ parts: settings.nodes.length, timing }, "started");
+  // While the first reads are on their way, and before any user is sent here.
+  setImmediate(() => void app());
 }
--- a/src/settings/operators.ts
+++ b/src/settings/operators.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { describeIssues, SettingsError } from "./platform-file.js";
 
 const seconds = z.number().finite().min(0);
--- a/src/settings/platform-file.ts
+++ b/src/settings/platform-file.ts
@@ -1,5 +1,5 @@
 import { parse } from "smol-toml";
-import { z } from "zod";
+import * as z from "zod";
 
 const amount = z.number().finite().min(0);
 const positive = z.number().finite().positive();
--- a/test/front-door.test.ts
+++ b/test/front-door.test.ts
@@ -2,7 +2,8 @@
 import { createServer, request, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
-import { answersShortly, buildApp, type FrontDoor } from "../src/intake/server.js";
+import { buildApp } from "../src/intake/app.js";
+import { answersShortly, type FrontDoor } from "../src/intake/server.js";
 import type { Relay } from "../src/intake/relay.js";
 
 // Polls and health checks pass beside express; both ways must say the same.
