Overload in one place: levels by lag, memory and backlog, with hysteresis

Need: on smaller machines a controller that can't keep up is an ordinary state; until now only a backlog of changes shed anything, all submissions alike, with a fixed pause. Change: src/overload measures lateness of timers, memory against the quota and the changes that wait, and says what is shed, in one order: views, volunteering and bids, new machines, submissions, urgent submissions. Retry-After follows from what was measured; passes come further apart while timers are late. A pass within a pass no longer counts its turns twice in `processor by duty`.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -19,6 +19,7 @@
 import { Submissions } from "./intake/submissions.js";
 import { Relay } from "./intake/relay.js";
 import { Needs } from "./pipelines/needs.js";
+import { Overload } from "./overload/overload.js";
 import type { PeerApi } from "./peers/links.js";
 import type { Scope } from "./platform/scope.js";
 import type { Settings } from "./settings/derived.js";
@@ -32,6 +33,8 @@
   peers: PeerApi;
   /** The one policy for whatever is asked outside. */
   calls: Calls;
+  /** Bytes this process holds; in virtual time nothing that counts. */
+  memoryBytes?: () => number;
 }
 
 /** One controller: all slices, wired. */
@@ -50,6 +53,7 @@
   readonly exchange: Exchange;
   readonly jobs: Jobs;
   readonly relay: Relay;
+  readonly overload: Overload;
   readonly stalls = { count: 0, ms: 0 };
   readonly calls: Calls;
   private peersWithState = new Map<string, number>();
@@ -87,6 +91,12 @@
       log,
       scope.costs,
     );
+    this.overload = new Overload({
+      settings,
+      scope,
+      memoryBytes: around.memoryBytes ?? (() => 0),
+      backlog: () => this.committer.backlog,
+    });
     this.ownership = new Ownership({
       settings,
       life,
@@ -111,6 +121,7 @@
       this.committer,
       this.allotments,
       this.guarantees,
+      this.overload,
       scope,
     );
     const probes = workersThrough(around.workers, calls.of("worker.probe"));
@@ -129,11 +140,13 @@
       rate: new Rate(clock, cloud.rps * share, Math.max(1, cloud.rps * share * 2)),
       calls,
       peers,
+      overload: this.overload,
       scope,
     });
-    this.exchange = new Exchange({ settings, leader, ownership, allotments, mirror, needs, committer, peers, scope });
+    const { overload } = this;
+    this.exchange = new Exchange({ settings, leader, ownership, allotments, mirror, needs, committer, peers, overload, scope });
     const submissions = new Submissions({ settings, leader, ownership, mirror, rentals, needs, committer, scope });
-    this.jobs = new Jobs(settings, leader, mirror, needs, submissions, committer, scope);
+    this.jobs = new Jobs(settings, leader, mirror, needs, submissions, committer, overload, scope);
     this.relay = new Relay(settings, this.jobs, around.peers, () => this.peersHavingState(), scope);
   }
 
@@ -144,6 +157,7 @@
       () => this.settings.timing.stallMs / 5,
       () => void this.scope.clock.now(),
     );
+    this.overload.start();
     this.leader.start();
     this.fitness.start();
     this.dispatch.start();
--- a/src/exchange/answers.ts
+++ b/src/exchange/answers.ts
@@ -13,7 +13,13 @@
   onQuery(query: Query): void {
     const part = this.around.leader.parts.get(query.part);
     const job = this.around.mirror.get<JobRecord>(keys.job(query.job))?.v;
-    if (part === undefined || part.phase !== "serving" || job === undefined || this.around.leader.silent()) {
+    if (
+      part === undefined ||
+      part.phase !== "serving" ||
+      job === undefined ||
+      this.around.leader.silent() ||
+      this.around.overload.sheds("volunteering")
+    ) {
       this.around.peers.send(query.from, {
         Answer: { id: query.id, part: query.part, waitMs: Infinity, runMs: 0, utilization: 1, atOnce: 0 },
       });
--- a/src/exchange/around.ts
+++ b/src/exchange/around.ts
@@ -4,6 +4,7 @@
 import type { Leader } from "../parts/leader.js";
 import type { Ownership } from "../parts/ownership.js";
 import { usageOf, type Part, type Usage } from "../parts/part.js";
+import type { Overload } from "../overload/overload.js";
 import type { PeerApi } from "../peers/links.js";
 import type { Needs } from "../pipelines/needs.js";
 import type { Scope } from "../platform/scope.js";
@@ -21,6 +22,7 @@
   needs: Needs;
   committer: Committer;
   peers: PeerApi;
+  overload: Overload;
   scope: Scope;
 }
 
--- a/src/exchange/volunteers.ts
+++ b/src/exchange/volunteers.ts
@@ -17,6 +17,8 @@
   }
 
   private announce(): void {
+    // Room on machines is of no use to others if this process can't keep up with what it has.
+    if (this.around.overload.sheds("volunteering")) return;
     for (const part of this.around.leader.parts.values()) {
       if (part.phase !== "serving") continue;
       const used = utilization(part);
--- a/src/fleet/around.ts
+++ b/src/fleet/around.ts
@@ -7,6 +7,7 @@
 import type { Allotments } from "../parts/allotments.js";
 import type { Leader } from "../parts/leader.js";
 import type { Part } from "../parts/part.js";
+import type { Overload } from "../overload/overload.js";
 import type { PeerApi } from "../peers/links.js";
 import { sleep } from "../platform/clock.js";
 import type { Scope } from "../platform/scope.js";
@@ -25,6 +26,7 @@
   rate: Rate;
   calls: Calls;
   peers: PeerApi;
+  overload: Overload;
   scope: Scope;
   stats: FleetStats;
 }
--- a/src/fleet/renting.ts
+++ b/src/fleet/renting.ts
@@ -42,6 +42,8 @@
         await this.carryOut(part, key.slice(keys.rentals.length), entry.v);
       }
       if (open || part.phase !== "serving") continue;
+      // Each machine more is reports more, and those that keep leases are never put off.
+      if (this.around.overload.sheds("growth")) continue;
       const plan = this.plan(part);
       for (const { offer, count } of plan.wanted.values()) {
         const room = this.around.settings.mostMachines - this.around.rentals.count(part.id);
--- a/src/intake/app.ts
+++ b/src/intake/app.ts
@@ -15,6 +15,11 @@
   app.post("/v2/runs", body, async (req, res) => send(door, res, await door.relay.answer("submit", req.body)));
   app.post("/v2/runs/:ref/cancel", async (req, res) => send(door, res, await door.relay.answer("cancel", req.params.ref)));
   app.get("/up", (_req, res) => send(door, res, readiness(door)));
+  app.use(["/cluster", "/metrics"], (_req, res, next) => {
+    const retryAfterS = door.viewsShed();
+    if (retryAfterS === null) next();
+    else send(door, res, { status: 503, body: { error: "busy" }, retryAfterS });
+  });
   app.get("/cluster", (_req, res) => send(door, res, { status: 200, body: door.view() }));
   app.get("/metrics", async (_req, res) => {
     res.type("text/plain").send(await door.metrics());
--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -1,9 +1,11 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
 import { doneOf, fitting, keys, type JobRecord } from "../ledger/records.js";
+import type { Overload } from "../overload/overload.js";
 import type { Scope } from "../platform/scope.js";
 import type { Leader } from "../parts/leader.js";
 import type { Needs } from "../pipelines/needs.js";
+import { rank } from "../queue/order.js";
 import type { Settings } from "../settings/derived.js";
 import { neverRuns } from "./admission.js";
 import { type JobSpec, decodeJob, isRef } from "@thorntrail/protocol/jobs";
@@ -15,8 +17,6 @@
   retryAfterS?: number;
 }
 
-const MAX_BACKLOG_PER_WRITE = 4;
-
 /** What users may ask for, apart from how it reaches us. */
 export class Jobs {
   constructor(
@@ -26,6 +26,7 @@
     private readonly needs: Needs,
     private readonly submissions: Submissions,
     private readonly committer: Committer,
+    private readonly overload: Overload,
     private readonly scope: Scope,
   ) {}
 
@@ -34,7 +35,7 @@
   }
 
   private unavailable(error: string, status = 503): Response {
-    return { status, body: { error }, retryAfterS: status === 429 ? 2 : 1 };
+    return { status, body: { error }, retryAfterS: status === 429 ? this.overload.retryAfterS() : 1 };
   }
 
   private reachable(): boolean {
@@ -89,9 +90,8 @@
       never = refused();
       if (never !== null) return { status: 422, body: { error: never } };
     }
-    if (this.committer.backlog > MAX_BACKLOG_PER_WRITE * this.settings.state.writeRps) {
-      return this.unavailable("too many requests", 429);
-    }
+    const hurry = rank(spec.urgency) <= rank("urgent");
+    if (this.overload.sheds(hurry ? "urgent submission" : "submission")) return this.unavailable("too many requests", 429);
     const part = this.submissions.choosePart();
     if (part === null) return this.unavailable("no part has a leader yet");
     const shedAfterMs = Math.min(patienceMs, this.settings.timing.stateTimeoutMs);
--- a/src/intake/server.ts
+++ b/src/intake/server.ts
@@ -9,6 +9,8 @@
   count: (status: number) => void;
   /** Requests that were not taken, and why. */
   shed: (path: string, status: number, why: unknown) => void;
+  /** Seconds after which to ask for views again; null: they are given. */
+  viewsShed: () => number | null;
   view: () => Record<string, unknown>;
   metrics: () => Promise<string>;
 }
--- /dev/null
+++ b/src/overload/overload.ts
@@ -0,0 +1,121 @@
+import type { Scope } from "../platform/scope.js";
+import type { Settings } from "../settings/derived.js";
+import { LEVELS, nextLevel, sheds, thresholdsOf, type Level, type Measured, type Sheddable } from "./levels.js";
+
+/** Waits told to users, in seconds: they come back by then, or give up after 60. */
+const LEAST_WAIT_S = 1;
+const MOST_WAIT_S = 30;
+/** Passes come further apart the later their timers are, but not by more than this. */
+const MOST_STRETCH = 4;
+const MB = 1e6;
+
+export interface OverloadAround {
+  settings: Settings;
+  scope: Scope;
+  /** Bytes this process holds. */
+  memoryBytes: () => number;
+  /** Changes that wait for the state service. */
+  backlog: () => number;
+}
+
+/**
+ * Overload as an ordinary state: measured in one place, a few times each report interval, and
+ * asked by all slices before they take on what can wait. It asks none of them.
+ */
+export class Overload {
+  level: Level = 0;
+  readonly stats = { shed: 0, worstLevel: 0 as Level, worstLagMs: 0, worstMemory: 0 };
+  measured: Measured = { lagMs: 0, memory: 0, backlogS: 0 };
+  /** Lateness seen in the newest looks, the newest last. */
+  private readonly late: number[] = [];
+  private dueAt = Infinity;
+  private looks = 0;
+
+  constructor(private readonly around: OverloadAround) {}
+
+  start(): void {
+    const { scope } = this.around;
+    this.dueAt = scope.clock.now();
+    scope.routine(
+      "overload",
+      () => this.lookMs(),
+      () => this.look(),
+    );
+    // A process that stood still, or whose clocks jumped, is not one that can't keep up.
+    scope.listen(scope.clock.stood$, () => {
+      this.late.length = 0;
+      this.dueAt = Infinity;
+    });
+  }
+
+  private lookMs(): number {
+    return this.around.settings.timing.reportMs / LOOKS;
+  }
+
+  private look(): void {
+    const { settings, scope } = this.around;
+    const now = scope.clock.now();
+    this.late.push(Math.max(0, now - this.dueAt));
+    if (this.late.length > REMEMBERED) this.late.shift();
+    this.dueAt = now + this.lookMs();
+    this.measured = {
+      lagMs: Math.max(...this.late),
+      memory: this.memory(),
+      backlogS: this.backlogS(),
+    };
+    const before = this.level;
+    this.level = nextLevel(before, this.measured, thresholdsOf(settings.timing, settings.nodes.length));
+    const { stats, measured } = this;
+    stats.worstLevel = Math.max(stats.worstLevel, this.level) as Level;
+    stats.worstLagMs = Math.max(stats.worstLagMs, Math.round(measured.lagMs));
+    stats.worstMemory = Math.max(stats.worstMemory, Math.round(measured.memory * 100) / 100);
+    if (this.level !== before) {
+      const { lagMs, memory, backlogS } = measured;
+      const line = {
+        from: LEVELS[before],
+        to: LEVELS[this.level],
+        lagMs: Math.round(lagMs),
+        memory: Math.round(memory * 100) / 100,
+        backlogS,
+      };
+      if (this.level > before) scope.log.warn(line, "overload rises");
+      else scope.log.info(line, "overload eases");
+    }
+  }
+
+  /** At our share of the writes. */
+  private backlogS(): number {
+    const { settings, backlog } = this.around;
+    return (backlog() * settings.nodes.length) / settings.state.writeRps;
+  }
+
+  /** Asking the kernel costs several calls, so it is asked once a report interval. */
+  private memory(): number {
+    const { settings, memoryBytes } = this.around;
+    if (this.looks++ % LOOKS > 0) return this.measured.memory;
+    return memoryBytes() / (settings.platform.deployment.quota.mem_mb * MB);
+  }
+
+  /** Whether this is to wait; whoever asks says so at once to whom it concerns. */
+  sheds(what: Sheddable): boolean {
+    if (!sheds(this.level, what)) return false;
+    this.stats.shed++;
+    return true;
+  }
+
+  /** For `Retry-After`: when what keeps us busy should be through, by what was measured. */
+  retryAfterS(): number {
+    const s = Math.max(this.backlogS(), (this.measured.lagMs / 1000) * 2);
+    return Math.min(MOST_WAIT_S, Math.max(LEAST_WAIT_S, Math.ceil(s)));
+  }
+
+  /** How much further apart passes come, given how far apart they would: whoever is late gains nothing by more of them. */
+  stretch(gapMs: number): number {
+    return Math.min(MOST_STRETCH, 1 + this.measured.lagMs / Math.max(gapMs, this.lookMs()));
+  }
+}
+
+/** Looks each report interval. */
+const LOOKS = 10;
+/** Of these, how many the lag is the worst of: it is to be over soon after its cause is. */
+const REMEMBERED = 4;
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -5,6 +5,7 @@
 import type { Mirror } from "../ledger/mirror.js";
 import type { Rentals } from "../ledger/rentals.js";
 import type { Needs } from "../pipelines/needs.js";
+import type { Overload } from "../overload/overload.js";
 import type { Scope } from "../platform/scope.js";
 import { RunHistory } from "../queue/history.js";
 import type { LocalOrder } from "../queue/order.js";
@@ -54,13 +55,14 @@
     committer: Committer,
     private readonly allotments: Allotments,
     readonly guarantees: Guarantees,
+    overload: Overload,
     readonly scope: Scope,
   ) {
     this.history = new RunHistory(settings.operators.queue.guesses);
     const progress = new Progress(this, mirror, committer);
     const consequences = new Consequences(this, progress, this.recovery);
     this.watch = new Watch(this, progress, consequences, this.recovery);
-    this.placing = new Placing(this, allotments, guarantees);
+    this.placing = new Placing(this, allotments, guarantees, overload);
     const cameUp = new CameUp(this, mirror, rentals, committer);
     this.reports = new ReportDesk(this, mirror, rentals, progress, cameUp, consequences, this.watch);
     this.holdings = new Holdings(this, life, mirror, rentals, needs, progress, consequences, this.watch);
--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -1,3 +1,4 @@
+import type { Overload } from "../overload/overload.js";
 import { localOrder, type LocalOrder } from "../queue/order.js";
 import { runPass } from "../queue/pass.js";
 import { choosePreemptions, PREEMPT_AFTER_PHI } from "../queue/preempt.js";
@@ -29,6 +30,7 @@
     private readonly led: Led,
     private readonly allotments: Allotments,
     private readonly guarantees: Guarantees,
+    private readonly overload: Overload,
   ) {}
 
   /** Runs a pass soon; many events share one. */
@@ -45,7 +47,8 @@
   private gapMs(): number {
     let machines = 0;
     for (const part of this.led.parts.values()) machines += part.machines.size;
-    return this.led.settings.timing.passGapMs * Math.max(1, machines / FEW_MACHINES);
+    const gapMs = this.led.settings.timing.passGapMs * Math.max(1, machines / FEW_MACHINES);
+    return gapMs * this.overload.stretch(gapMs);
   }
 
   order(): LocalOrder {
--- a/src/platform/costs.ts
+++ b/src/platform/costs.ts
@@ -41,8 +41,10 @@
   spend<T>(duty: Duty, act: () => T): T {
     const index = DUTIES.indexOf(duty);
     const { stack } = this;
-    const began = this.now();
     const outer = stack.at(-1);
+    // A pass over all parts is made of passes over each: one turn, not one more for every part.
+    if (outer === index) return act();
+    const began = this.now();
     if (outer !== undefined) this.ms[outer]! += began - this.since;
     this.since = began;
     stack.push(index);
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -48,6 +48,7 @@
       workers: new HttpWorkers(calls.of("worker.order").policy.limitMs, commandsAtOnce(deployment.quota.sockets), settings.self),
       peers,
       calls,
+      memoryBytes: () => process.memoryUsage.rss(),
     },
     scope,
   );
@@ -58,6 +59,7 @@
     unready: () => controller.unready(),
     count: (status) => metrics.countAnswer(status),
     shed: (path, status, why) => log.debug({ path, status, why }, "not taken"),
+    viewsShed: () => (controller.overload.sheds("view") ? controller.overload.retryAfterS() : null),
     view: () => clusterView(controller),
     metrics: () => metrics.text(),
   };
@@ -108,6 +110,7 @@
           systemMs: Math.round(system / 1000),
           startMs: Math.round((startMs.user + startMs.system) / 1000),
           spent,
+          overload: controller.overload.stats,
         },
         "processor by duty",
       );
--- a/src/status/exposition.ts
+++ b/src/status/exposition.ts
@@ -72,6 +72,11 @@
     gauge("relayed_total", "Requests a peer answered for this node", () => relay.stats.answered);
     gauge("stalls_total", "Times this process stood still while its clocks ran on", () => stalls.count);
     gauge("stalled_ms_total", "For how long, in all", () => stalls.ms);
+    const { overload } = controller;
+    gauge("overload_level", "0 easy to 4 drowning, see docs/operations/overload.md", () => overload.level);
+    gauge("overload_lag_ms", "Worst lateness of timers lately", () => overload.measured.lagMs);
+    gauge("overload_memory_ratio", "Memory held, of the quota", () => overload.measured.memory);
+    gauge("overload_shed_total", "What was put off for lack of processor, memory or writes", () => overload.stats.shed);
     gauge("silent_peers", "Controllers whose presence ran out", () => ownership.silentNodes().length);
     gauge("cut_off_from_workers", "1 while this node cannot reach its workers", () => Number(fitness.unfit));
     gauge("takeover_ms", "From taking the newest part to its first placement pass", () => leader.stats.fencedMs);
--- a/src/status/view.ts
+++ b/src/status/view.ts
@@ -1,12 +1,13 @@
 import type { Controller } from "../controller.js";
 import { keys, type AllotmentRecord } from "../ledger/records.js";
+import { LEVELS } from "../overload/levels.js";
 import { estimateWaits, utilization } from "../queue/estimate.js";
 
 const SHOWN_RECOVERIES = 10;
 
 /** The cluster as this node sees it, for the person on call. */
 export function clusterView(controller: Controller): Record<string, unknown> {
-  const { settings, mirror, rentals, needs, ownership, leader, exchange, fitness, stalls } = controller;
+  const { settings, mirror, rentals, needs, ownership, leader, exchange, fitness, stalls, overload } = controller;
   const machines = [...rentals.all()];
   const parts = settings.nodes.map((_, id) => {
     const part = leader.parts.get(id);
@@ -41,6 +42,7 @@
     stateAgeMs: Number.isFinite(mirror.ageMs()) ? Math.round(mirror.ageMs()) : null,
     silent: ownership.silentNodes(),
     cutOffFromWorkers: fitness.unfit,
+    overload: { level: LEVELS[overload.level], ...overload.measured, ...overload.stats },
     stalls: stalls.count,
     stoodStillMs: stalls.ms,
     present: settings.nodes.filter((node) => ownership.alive(node)),
--- a/test/front-door.test.ts
+++ b/test/front-door.test.ts
@@ -20,6 +20,7 @@
     unready: () => unready,
     count: () => undefined,
     shed: (path, status) => shed.push(`${path} ${status}`),
+    viewsShed: () => null,
     view: () => ({}),
     metrics: () => Promise.resolve(""),
   };
