--- a/measure/costs.ts
+++ b/measure/costs.ts
@@ -1,4 +1,5 @@
 import { options, progress, report } from "./harness.js";
+import { memoryEach } from "./memory.js";
 import { bareMs, starts } from "./start.js";
 
 /** Where processor time and memory go. `--against DIR`: beside another checkout, built, in turn. */
@@ -12,9 +13,12 @@
 progress(
   `start: bare runtime ${bare.toFixed(0)} ms, first answer ${here.firstMs.toFixed(0)} ms, first submission ${here.submissionMs.toFixed(0)} ms`,
 );
+const memory = await memoryEach(given.quick);
+for (const [name, bytes] of Object.entries(memory)) progress(`${name}: ${bytes.toFixed(0)}`);
 report("costs", given, {
   bare_ms: bare,
   start_first_answer_ms: here.firstMs,
   start_submission_ms: here.submissionMs,
+  ...memory,
   ...(there === null ? {} : { before_first_answer_ms: there.firstMs, before_submission_ms: there.submissionMs }),
 });
--- a/src/fleet/renting.ts
+++ b/src/fleet/renting.ts
@@ -36,10 +36,9 @@
     for (const part of [...this.around.leader.parts.values()]) {
       // Rentals begun before, by us or by a former leader, are brought to an end first.
       let open = false;
-      for (const [key, entry] of [...this.around.mirror.rows<RentalRecord>(keys.rentals)]) {
-        if (entry.v.part !== part.id || entry.v.hosts !== undefined) continue;
+      for (const [key, record] of this.around.rentals.begun(part.id)) {
         open = true;
-        await this.carryOut(part, key.slice(keys.rentals.length), entry.v);
+        await this.carryOut(part, key.slice(keys.rentals.length), record);
       }
       if (open || part.phase !== "serving") continue;
       // Each machine more is reports more, and those that keep leases are never put off.
--- a/src/ledger/mirror.ts
+++ b/src/ledger/mirror.ts
@@ -7,7 +7,7 @@
 import type { Caller } from "../calls/calls.js";
 import { NoReply } from "@thorntrail/protocol/errors";
 import type { Scope } from "../platform/scope.js";
-import { keys, type SliceRecord } from "./records.js";
+import { keys, type JobRecord, type SliceRecord } from "./records.js";
 
 export interface Entry<T> {
   v: T;
@@ -26,6 +26,8 @@
   private readonly tables = new Map<string, Map<string, Entry<unknown>>>();
   /** Keys of slices by their job: asked for with every task that is done, among thousands of slices. */
   private readonly slices = new Map<string, Set<string>>();
+  /** Records of jobs that have not ended: what duties go over, whatever has ended in all the years before. */
+  private readonly unended = new Map<string, Entry<JobRecord>>();
   private readonly removed = new Map<string, number>();
   private position = -1;
   /** The mirror holds all that was in the store at this steady time. */
@@ -157,8 +159,13 @@
     const table = this.table(key);
     const known = table.get(key)?.stamp ?? this.removed.get(key) ?? -1;
     if (stamp <= known) return;
-    table.set(key, { v, stamp });
+    const entry = { v, stamp };
+    table.set(key, entry);
     if (key.startsWith(keys.slices)) this.noteSlice(key);
+    else if (key.startsWith(keys.jobs)) {
+      if ((v as JobRecord).end === undefined) this.unended.set(key, entry as Entry<JobRecord>);
+      else this.unended.delete(key);
+    }
     this.removed.delete(key);
     this.changes$.next(key);
   }
@@ -169,6 +176,7 @@
     if (entry !== undefined && entry.stamp >= stamp) return;
     table.delete(key);
     if (key.startsWith(keys.slices)) this.forgetSlice(key);
+    this.unended.delete(key);
     this.removed.set(key, stamp);
     if (this.removed.size > 20_000) this.removed.delete(this.removed.keys().next().value as string);
     if (entry !== undefined) this.changes$.next(key);
@@ -186,6 +194,11 @@
     return this.table(prefix) as Map<string, Entry<T>>;
   }
 
+  /** Of the jobs, those whose own record says no end; one cancelled with a job that it needs is still among them. */
+  openJobs(): ReadonlyMap<string, Entry<JobRecord>> {
+    return this.unended;
+  }
+
   private noteSlice(key: string): void {
     const ref = refOfSlice(key);
     const known = this.slices.get(ref);
--- a/src/ledger/rentals.ts
+++ b/src/ledger/rentals.ts
@@ -27,6 +27,8 @@
   private readonly machines = new Map<string, RecordedMachine>();
   private readonly byKey = new Map<string, Set<string>>();
   private readonly counts = new Map<number, number>();
+  /** Rentals of which it is not recorded yet what they brought. */
+  private readonly unanswered = new Set<string>();
 
   constructor(private readonly mirror: Mirror) {
     mirror.changes$.subscribe((key) => {
@@ -43,6 +45,16 @@
     return this.counts.get(part) ?? 0;
   }
 
+  /** Rentals begun for the part, by us or a former leader, of which it is not recorded what they brought. */
+  begun(part: number): [key: string, record: RentalRecord][] {
+    const list: [string, RentalRecord][] = [];
+    for (const key of this.unanswered) {
+      const record = this.mirror.get<RentalRecord>(key)?.v;
+      if (record?.part === part) list.push([key, record]);
+    }
+    return list;
+  }
+
   private tally(part: number, by: number): void {
     this.counts.set(part, this.count(part) + by);
   }
@@ -54,6 +66,8 @@
   private review(key: string): void {
     const record = this.mirror.get<RentalRecord>(key)?.v;
     const before = this.byKey.get(key);
+    if (record !== undefined && record.hosts === undefined) this.unanswered.add(key);
+    else this.unanswered.delete(key);
     const hosts = record?.hosts ?? {};
     const changed: string[] = [];
     for (const host of before ?? []) {
--- a/src/parts/guarantees.ts
+++ b/src/parts/guarantees.ts
@@ -1,6 +1,6 @@
 import type { JobSpec } from "@thorntrail/protocol/jobs";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, type JobRecord } from "../ledger/records.js";
+import type { JobRecord } from "../ledger/records.js";
 import type { Needs } from "../pipelines/needs.js";
 import type { Scope } from "../platform/scope.js";
 import type { Settings } from "../settings/derived.js";
@@ -83,9 +83,8 @@
 
   private review(): void {
     // What waits for other jobs holds no part of its team's guarantee.
-    const jobs = [...this.mirror.rows<JobRecord>(keys.jobs).values()]
-      .map((entry) => entry.v)
-      .filter(({ spec }) => !this.needs.waits(spec.ref));
+    const jobs: JobRecord[] = [];
+    for (const { v } of this.mirror.openJobs().values()) if (!this.needs.waits(v.spec.ref)) jobs.push(v);
     this.granted = grant(jobs, this.teams, this.granted);
   }
 
--- a/src/parts/holdings.ts
+++ b/src/parts/holdings.ts
@@ -90,7 +90,7 @@
     this.led.parts.set(id, part);
     this.led.stats.takeovers++;
     for (const { host, part: of } of this.rentals.all()) if (of === id) this.reviewMachine(host);
-    for (const key of this.mirror.rows(keys.jobs).keys()) this.reviewWork(key);
+    for (const key of this.mirror.openJobs().keys()) this.reviewWork(key);
     for (const key of this.mirror.rows(keys.slices).keys()) this.reviewWork(key);
     this.led.scope.log.info({ part: id, term, machines: part.machines.size, queue: part.units.size }, "leading; fencing machines");
     this.watch.look();
--- a/test/mirror.test.ts
+++ b/test/mirror.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import fc from "fast-check";
 import { Mirror } from "../src/ledger/mirror.js";
 import { Rate } from "@thorntrail/protocol/rate";
 import { VirtualState } from "@thorntrail/emulator/virtual/service-links";
@@ -22,3 +23,26 @@
     assert.equal(seen, i);
   }
 });
+
+// Duties go over open jobs alone; one that is missed would never run, one that stays would be counted for ever.
+test("open jobs are those whose record says no end, whatever came in whichever order", () => {
+  const clock = new VirtualClock();
+  const client = new VirtualState(clock, () => 5, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 }).client("n", (fn) => fn());
+  const change = fc.record({
+    key: fc.constantFrom("t/j/a", "t/j/b", "t/j/c", "t/s/a/4", "t/m/1"),
+    stamp: fc.integer({ min: 1, max: 30 }),
+    what: fc.constantFrom("open", "done", "withdrawn", "remove"),
+  });
+  fc.assert(
+    fc.property(fc.array(change, { maxLength: 40 }), (changes) => {
+      const mirror = new Mirror(client, clock, new Rate(clock, 1000), { readGapMs: 0, blockMs: 1000 }, callsFor(clock).of("state.read"));
+      for (const { key, stamp, what } of changes) {
+        if (what === "remove") mirror.drop(key, stamp);
+        else mirror.put(key, what === "open" ? { ref: "a" } : { ref: "a", end: what }, stamp);
+      }
+      const rows = [...mirror.rows<{ end?: string }>("t/j/")].filter(([, { v }]) => v.end === undefined);
+      assert.deepEqual([...mirror.openJobs().keys()].sort(), rows.map(([key]) => key).sort());
+    }),
+    { seed: 33, numRuns: 500 },
+  );
+});
