Low work: what has the least left goes first, and is stopped last

Change: jobs of classes without an aim for their end are put back for what is left of them, up to 100 leases, so nothing waits for ever; for urgent work, tasks are stopped of the job whose end that delays least. Guaranteed work keeps its turn.

--- a/measure/memory.ts
+++ b/measure/memory.ts
@@ -48,6 +48,11 @@
   };
 }
 
+/** A job as it is kept; `end`: it is done. */
+export function jobRecordOf(i: number, end: boolean): JobRecord {
+  return { spec: specOf(i), part: i % 2, hi: 30, done: end ? "/////w==" : "", at: 1.7e12 + i, ...(end ? { end: "done" } : {}) };
+}
+
 function mirrorHere(): Mirror {
   const clock = new VirtualClock();
   const client = new VirtualState(clock, () => 5, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 }).client("n", (fn) => fn());
@@ -61,8 +66,7 @@
 async function jobs(count: number, end: boolean): Promise<number> {
   const mirror = mirrorHere();
   return each(count, (i) => {
-    const record: JobRecord = { spec: specOf(i), part: i % 5, hi: 30, done: "/////w==", at: 1.7e12 + i, ...(end ? { end: "done" } : {}) };
-    const { k, v } = text({ k: keys.job(refOf(i)), v: record }) as { k: string; v: JobRecord };
+    const { k, v } = text({ k: keys.job(refOf(i)), v: jobRecordOf(i, end) }) as { k: string; v: JobRecord };
     mirror.put(k, v, i + 1);
     return mirror;
   });
--- a/measure/start.ts
+++ b/measure/start.ts
@@ -21,13 +21,13 @@
   return words;
 }
 
-/** One request on a connection of its own; resolves with the status, null if there was no answer. */
-function ask(port: number, text: string): Promise<number | null> {
+/** One request on a connection of its own; resolves with the answer as it came, null if there was none. */
+export function ask(port: number, text: string): Promise<string | null> {
   return new Promise((resolve) => {
     const socket = connect({ host: "127.0.0.1", port });
     socket.on("connect", () => socket.write(text));
     socket.on("data", (chunk: Buffer) => {
-      resolve(Number(chunk.toString("latin1", 9, 12)));
+      resolve(chunk.toString("latin1"));
       socket.destroy();
     });
     socket.on("error", () => resolve(null));
@@ -35,10 +35,10 @@
   });
 }
 
-const UP = "GET /up HTTP/1.1\r\nhost: a\r\n\r\n";
+export const UP = "GET /up HTTP/1.1\r\nhost: a\r\n\r\n";
 const BODY = JSON.stringify({ ref: "run-000001" });
 const SUBMIT = `POST /v2/runs HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\ncontent-length: ${BODY.length}\r\n\r\n${BODY}`;
-const PORT = 18_080;
+export const PORT = 18_080;
 
 export interface Started {
   /** Until the first answer to a health check, and to a submission; ms of the processor. */
@@ -46,15 +46,22 @@
   submissionMs: number;
 }
 
-/** Starts the controller of a checkout alone, its services refusing, `repeats` times. */
-export async function starts(dir: string, repeats: number): Promise<Started> {
-  const place = mkdtempSync(join(tmpdir(), "thorntrail-start-"));
+/** Settings of one controller of two whose peer and cloud refuse; `quota`: beside the usual one. */
+export async function settingsFile(place: string, state: string, quota: Record<string, number> = {}): Promise<string> {
   const config = join(place, "settings.toml");
   const { deployment } = platformOf(await loadPlan("deploy/rehearsal.hcl"), USUAL);
   const known = [{ host_name: "nest-1", area: "a", peer_addr: "127.0.0.1:1" }];
-  const endpoints = { cloud: "127.0.0.1:1", state: "127.0.0.1:1" };
+  const endpoints = { cloud: "127.0.0.1:1", state };
   const settings = { host_name: "nest-0", area: "a", front: `127.0.0.1:${PORT}`, peer_listen: `127.0.0.1:${PORT + 1}`, known, endpoints };
-  writeFileSync(config, stringify({ ...settings, deployment }));
+  const all = { ...deployment, quota: { ...(deployment["quota"] as Record<string, number>), ...quota } };
+  writeFileSync(config, stringify({ ...settings, deployment: all }));
+  return config;
+}
+
+/** Starts the controller of a checkout alone, its services refusing, `repeats` times. */
+export async function starts(dir: string, repeats: number): Promise<Started> {
+  const place = mkdtempSync(join(tmpdir(), "thorntrail-start-"));
+  const config = await settingsFile(place, "127.0.0.1:1");
   const first: number[] = [];
   const submission: number[] = [];
   for (let i = 0; i < repeats; i++) {
--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -12,6 +12,9 @@
 /** Passes over no more machines than this come as often as events do. */
 const FEW_MACHINES = 20;
 
+/** Leases by which a job may be put back for its size, at most: half an hour where they are usual. */
+const YIELD_LEASES = 100;
+
 /** Aims are the same for all jobs of a class, of which a queue has hundreds. */
 function once(read: (klass: string) => number): (klass: string) => number {
   const known = new Map<string, number>();
@@ -59,6 +62,7 @@
       finishS: once((klass) => aimS(platform, "finished", klass)),
       startS: once((klass) => aimS(platform, "wait", klass)),
       expectS: (unit) => this.led.history.expectS(unit.spec),
+      yieldS: (this.led.settings.timing.leaseMs / 1000) * YIELD_LEASES,
       guaranteed: (unit) => this.guarantees.within(unit.spec.ref),
     });
   }
--- a/src/queue/order.ts
+++ b/src/queue/order.ts
@@ -24,6 +24,8 @@
   /** Within how many seconds they should start; infinite: no such aim. */
   startS: (klass: string) => number;
   expectS: (unit: Unit) => number;
+  /** What a job of a class without an aim for its end is put back for its size, at most, in seconds. */
+  yieldS: number;
   /** Within its team's guarantee: such work need not wait for other teams. */
   guaranteed: (unit: Unit) => boolean;
 }
@@ -37,6 +39,9 @@
 /** Tasks that may be expected to run at the same time; a wider gang takes as much as several. */
 const USUAL_WIDTH = 4;
 
+/** Saturates at `most`: nothing is put back further than that, so nothing waits for ever. */
+const upTo = (most: number, seconds: number): number => (most * seconds) / (seconds + most);
+
 /**
  * First come within a priority. With `aims`, among classes that should be done
  * in time, a large job counts as having come later, so that several small ones make
@@ -44,6 +49,10 @@
  * time in which it should be done. What is late for its start yields by as much as
  * that aim to what can still make it, and what can no longer be done in time by as
  * much as the other. All are bounded: nothing waits for ever.
+ *
+ * Jobs of classes without such an aim are put back for what is left of them as well: on a day
+ * that is too full for all, first come begins everything and finishes little, and an array that is
+ * half done serves nobody. What has few tasks left comes first, so what is begun is finished.
  */
 export function localOrder(context: OrderContext): LocalOrder {
   return {
@@ -51,14 +60,14 @@
     rank: (unit) => (context.mode === "arrival" ? 0 : rank(unit.urgency) + (unit.urgency === unit.spec.urgency ? 0 : LIFTED)),
     arrival: (unit) => {
       if (context.mode !== "arrival" && context.guaranteed(unit)) return unit.submittedWall - AGES_MS;
-      const within = context.mode === "aims" ? context.finishS(unit.spec.klass) : Infinity;
-      if (!Number.isFinite(within)) return unit.submittedWall;
+      if (context.mode !== "aims") return unit.submittedWall;
+      const within = context.finishS(unit.spec.klass);
       const run = context.expectS(unit);
       const work = run * Math.ceil(unit.waiting.length / USUAL_WIDTH);
+      if (!Number.isFinite(within)) return unit.submittedWall + 1000 * upTo(context.yieldS, work);
       const age = (context.nowWall - unit.submittedWall) / 1000;
       const start = context.startS(unit.spec.klass);
-      const large = (within * work) / (work + within);
-      return unit.submittedWall + 1000 * (large + (age > start ? start : 0) + (age + run > within ? within : 0));
+      return unit.submittedWall + 1000 * (upTo(within, work) + (age > start ? start : 0) + (age + run > within ? within : 0));
     },
   };
 }
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -1,6 +1,6 @@
 import { tasksWithin, usageByTeam, type Part, type Usage } from "../parts/part.js";
 import type { Machine } from "../workers/machine.js";
-import { inOrder, rank } from "./order.js";
+import { inOrder, rank, type LocalOrder } from "./order.js";
 import { shift, stoppingRoom } from "./room.js";
 import { ready, usableSlots, zonesInUse, type PassContext } from "./pass.js";
 import { allowed, fits, occupy, placeTasks, type Slot } from "./placement.js";
@@ -24,6 +24,14 @@
   return checkpointS > 0 ? Math.min(ran, flushS) : ran;
 }
 
+/**
+ * What stopping one of its tasks adds to a job's end, in seconds: a whole run where nothing else of it
+ * waits, next to nothing where most of it still does. Half done jobs serve nobody.
+ */
+function delayS({ unit }: Placement, expectS: (unit: Unit) => number): number {
+  return expectS(unit) / (1 + unit.waiting.length);
+}
+
 /** A start is of no use to anybody if the task is stopped this soon after (PROTOCOL). */
 const START_COUNTS_S = 30;
 
@@ -40,7 +48,21 @@
 class Candidates {
   private readonly sorted = new Map<Machine, Placement[]>();
 
-  constructor(private readonly now: number) {}
+  private readonly arrivals = new Map<Unit, number>();
+
+  constructor(
+    private readonly now: number,
+    private readonly order: LocalOrder,
+  ) {}
+
+  /** The later a job's turn, the sooner its tasks are stopped: what is nearly done goes on. */
+  private arrival(unit: Unit): number {
+    const known = this.arrivals.get(unit);
+    if (known !== undefined) return known;
+    const at = this.order.arrival(unit);
+    this.arrivals.set(unit, at);
+    return at;
+  }
 
   on(machine: Machine): Placement[] {
     let list = this.sorted.get(machine);
@@ -51,7 +73,7 @@
           (a, b) =>
             rank(b.unit.urgency) - rank(a.unit.urgency) ||
             freshly(a, this.now) - freshly(b, this.now) ||
-            b.unit.submittedWall - a.unit.submittedWall ||
+            this.arrival(b.unit) - this.arrival(a.unit) ||
             lostS(a, this.now) - lostS(b, this.now),
         );
       this.sorted.set(machine, list);
@@ -83,8 +105,9 @@
 
 /**
  * Tasks on one machine that may be stopped for a job: of strictly lower
- * priority only, never a gang's (all of it would go). The newest jobs first, as
- * they are the likeliest to be beyond their team's guarantee, then the least work lost.
+ * priority only, never a gang's (all of it would go). Of the lowest, those
+ * whose turn would come last, as they are the likeliest to be beyond their team's guarantee and the
+ * farthest from their end, then the least work lost.
  */
 function victimsOn(
   slot: Slot,
@@ -154,7 +177,7 @@
     over.cpus -= sign * spec.cpus;
     over.gpus -= sign * spec.gpus;
   };
-  const candidates = new Candidates(now);
+  const candidates = new Candidates(now, context.order);
   const hopeless = new Map<string, number>();
   for (const unit of inOrder(waiting, context.order)) {
     const { spec } = unit;
@@ -183,7 +206,9 @@
           if (!allowed(task, slot.machine) || unit.failedOn.has(slot.machine.host)) continue;
           const victims = victimsOn(slot, unit, taken, candidates, mayStop);
           if (victims === null || victims.length === 0) continue;
-          const cost = victims.reduce((sum, p) => sum + 1 + lostS(p, now), 0) + (slot.machine.images.has(spec.image) ? 0 : spec.guessS);
+          const cost =
+            victims.reduce((sum, p) => sum + 1 + lostS(p, now) + delayS(p, context.expectS), 0) +
+            (slot.machine.images.has(spec.image) ? 0 : spec.guessS);
           if (best === null || cost < best.cost) best = { slot, victims, cost };
         }
         if (best === null) break;
--- /dev/null
+++ b/test/served.test.ts
@@ -0,0 +1,135 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import type { Part } from "../src/parts/part.js";
+import { localOrder, type OrderContext, type OrderMode } from "../src/queue/order.js";
+import { runPass } from "../src/queue/pass.js";
+import { choosePreemptions } from "../src/queue/preempt.js";
+import { markFinished, release, type Unit } from "../src/queue/unit.js";
+import { letGo } from "../src/workers/machine.js";
+import { partOf, pass, queueUp, specOf } from "./world/parts.js";
+
+const RUN_S = 60;
+const YIELD_S = 1800;
+
+function orderAt(nowS: number, mode: OrderMode = "aims", change: Partial<OrderContext> = {}) {
+  return localOrder({
+    mode,
+    nowWall: nowS * 1000,
+    finishS: () => Infinity,
+    startS: () => Infinity,
+    expectS: () => RUN_S,
+    yieldS: YIELD_S,
+    guaranteed: () => false,
+    ...change,
+  });
+}
+
+/** Everything that runs ends; what it leaves is given out anew. Jobs that are over leave the queue. */
+function turn(part: Part, nowS: number, mode: OrderMode, finished: Set<string>): void {
+  for (const machine of part.machines.values()) {
+    for (const [key, placement] of [...machine.placements]) {
+      letGo(machine, key);
+      markFinished(placement.unit, placement.task);
+      release(placement.unit, placement);
+    }
+  }
+  for (const unit of [...part.units.values()]) {
+    if (!unit.done.full) continue;
+    finished.add(unit.spec.ref);
+    part.units.delete(unit.key);
+  }
+  runPass(part, { ...pass, order: orderAt(nowS, mode) });
+}
+
+/** Twice as much low work as there is room for; how many jobs are over in the end, by order. */
+function day(sizes: number[], mode: OrderMode): number {
+  const { part } = partOf(4, { cpus: 8, gpus: 0, ram: 64 });
+  const turns = Math.ceil(sizes.reduce((sum, n) => sum + n, 0) / (4 * 8) / 2);
+  const finished = new Set<string>();
+  for (let t = 0; t <= turns; t++) {
+    const from = Math.floor((t * sizes.length) / (turns + 1));
+    const to = Math.floor(((t + 1) * sizes.length) / (turns + 1));
+    for (let i = from; i < to; i++) {
+      const unit = queueUp(part, specOf({ ref: `run-${String(i).padStart(6, "0")}`, tasks: sizes[i]!, cpus: 1, urgency: "low" }));
+      unit.submittedWall = t * RUN_S * 1000;
+    }
+    turn(part, t * RUN_S, mode, finished);
+  }
+  return finished.size;
+}
+
+// On a day with four times the photo batches half of them were begun and a third done: first come
+// begins everything and finishes little. More than half of each class has to be served.
+test("on a day too full for all, more jobs are over than first come would have", () => {
+  const job = fc.oneof(
+    { weight: 3, arbitrary: fc.integer({ min: 1, max: 30 }) },
+    { weight: 1, arbitrary: fc.integer({ min: 31, max: 150 }) },
+  );
+  let first = 0;
+  let aims = 0;
+  fc.assert(
+    fc.property(fc.array(job, { minLength: 30, maxLength: 60 }), (sizes) => {
+      const [a, b] = [day(sizes, "arrival"), day(sizes, "aims")];
+      first += a;
+      aims += b;
+      assert.ok(b >= a, `${b} of ${sizes.length} over, ${a} by first come`);
+    }),
+    { seed: 30, numRuns: 60 },
+  );
+  assert.ok(aims > first * 1.3, `${aims} against ${first}`);
+});
+
+test("what has fewer tasks left comes first among jobs of the same age", () => {
+  const { part } = partOf(1, { cpus: 8, gpus: 0, ram: 64 });
+  const order = orderAt(100);
+  const [large, small] = [40, 8].map((tasks, i) => queueUp(part, specOf({ ref: `run-00000${i}`, tasks }))) as [Unit, Unit];
+  assert.ok(order.arrival(small) < order.arrival(large));
+  // Most of it is done: nothing is gained by leaving it half done.
+  large.waiting.splice(0, 38);
+  assert.ok(order.arrival(large) < order.arrival(small));
+});
+
+test("nothing waits for ever: who has waited longer by the bound comes first, however large", () => {
+  const { part } = partOf(1, { cpus: 8, gpus: 0, ram: 64 });
+  let n = 0;
+  fc.assert(
+    fc.property(fc.integer({ min: 1, max: 100_000 }), fc.integer({ min: 1, max: 100_000 }), fc.nat(5000), (old, young, extraS) => {
+      const unitOf = (tasks: number): Unit => queueUp(part, specOf({ ref: `run-${String(++n).padStart(6, "0")}`, tasks }));
+      const [first, second] = [unitOf(old), unitOf(young)];
+      second.submittedWall = first.submittedWall + (YIELD_S + extraS) * 1000;
+      const order = orderAt(10_000);
+      assert.ok(order.arrival(first) < order.arrival(second));
+    }),
+    { seed: 34, numRuns: 200 },
+  );
+});
+
+test("work within a guarantee keeps its turn whatever its size, and so does first come where it is asked for", () => {
+  const { part } = partOf(1, { cpus: 8, gpus: 0, ram: 64 });
+  const large = queueUp(part, specOf({ ref: "run-000001", tasks: 500 }));
+  const small = queueUp(part, specOf({ ref: "run-000002", tasks: 1 }));
+  small.submittedWall = 1000;
+  assert.ok(orderAt(100).arrival(small) < orderAt(100).arrival(large));
+  const granted = orderAt(100, "aims", { guaranteed: (unit) => unit === large });
+  assert.ok(granted.arrival(large) < granted.arrival(small));
+  for (const mode of ["arrival", "urgency"] as const) assert.ok(orderAt(100, mode).arrival(large) < orderAt(100, mode).arrival(small));
+});
+
+// Stopped tasks that cannot save start anew from nothing: taken from a job that is nearly done, they
+// leave two jobs half done instead of one.
+test("for work of higher priority, tasks are stopped of the low job with the most left to do", () => {
+  const { part } = partOf(2, { cpus: 8, gpus: 0, ram: 64 });
+  const nearly = queueUp(part, specOf({ ref: "run-000001", tasks: 8, urgency: "low" }));
+  runPass(part, pass);
+  // It came last, but has nothing left that waits; the other has most of it before it.
+  const begun = queueUp(part, specOf({ ref: "run-000002", tasks: 80, urgency: "low" }));
+  begun.submittedWall = nearly.submittedWall - 60_000;
+  runPass(part, pass);
+  assert.deepEqual([nearly.placed.size, begun.placed.size], [8, 8]);
+  queueUp(part, specOf({ ref: "run-000003", tasks: 3, urgency: "urgent" }));
+  const context = { ...pass, order: orderAt(200), patienceMs: 0, claimAfterMs: 0, excess: new Map(), guaranteed: () => false };
+  const stopped = choosePreemptions(part, context);
+  assert.deepEqual([...new Set(stopped.map(({ unit }) => unit.spec.ref))], ["run-000002"]);
+  assert.equal(stopped.length, 3);
+});
--- a/test/world/parts.ts
+++ b/test/world/parts.ts
@@ -41,6 +41,7 @@
   finishS: () => Infinity,
   startS: () => Infinity,
   expectS: () => 60,
+  yieldS: 1800,
   guaranteed: () => false,
 });
 export const unlimited = (): { cpus: number; gpus: number } => ({ cpus: Infinity, gpus: Infinity });
