--- a/src/controller.ts
+++ b/src/controller.ts
@@ -19,7 +19,7 @@
 import { Submissions } from "./intake/submissions.js";
 import { Relay } from "./intake/relay.js";
 import { Needs } from "./pipelines/needs.js";
-import { Overload } from "./overload/overload.js";
+import { Overload, type Held } from "./overload/overload.js";
 import type { PeerApi } from "./peers/links.js";
 import type { Scope } from "./platform/scope.js";
 import type { Settings } from "./settings/derived.js";
@@ -33,8 +33,8 @@
   peers: PeerApi;
   /** The one policy for whatever is asked outside. */
   calls: Calls;
-  /** Bytes this process holds; in virtual time nothing that counts. */
-  memoryBytes?: () => number;
+  /** What this process holds; in virtual time nothing that counts. */
+  memory?: () => Held;
 }
 
 /** One controller: all slices, wired. */
@@ -94,7 +94,7 @@
     this.overload = new Overload({
       settings,
       scope,
-      memoryBytes: around.memoryBytes ?? (() => 0),
+      memory: around.memory ?? (() => ({ resident: 0, heap: 0, heapMost: 0 })),
       backlog: () => this.committer.backlog,
     });
     this.ownership = new Ownership({
--- a/src/overload/overload.ts
+++ b/src/overload/overload.ts
@@ -9,11 +9,18 @@
 const MOST_STRETCH = 4;
 const MB = 1e6;
 
+/** Bytes of memory: all of the process, and of V8's heap with what it may be at most, its garbage included. */
+export interface Held {
+  resident: number;
+  heap: number;
+  heapMost: number;
+}
+
 export interface OverloadAround {
   settings: Settings;
   scope: Scope;
-  /** Bytes this process holds. */
-  memoryBytes: () => number;
+  /** What this process holds, in bytes. */
+  memory: () => Held;
   /** Changes that wait for the state service. */
   backlog: () => number;
 }
@@ -30,6 +37,7 @@
   private readonly late: number[] = [];
   private dueAt = Infinity;
   private looks = 0;
+  private readonly heaps: number[] = [];
 
   constructor(private readonly around: OverloadAround) {}
 
@@ -89,11 +97,18 @@
     return (backlog() * settings.nodes.length) / settings.state.writeRps;
   }
 
-  /** Asking the kernel costs several calls, so it is asked once a report interval. */
+  /**
+   * The larger of two shares: of the quota, and of what V8 may hold, which is fixed before the settings
+   * are read. The heap counts as the least of some looks, since all of them include garbage. Asking the
+   * kernel costs several calls, so it is asked once a report interval.
+   */
   private memory(): number {
-    const { settings, memoryBytes } = this.around;
+    const { settings, memory } = this.around;
     if (this.looks++ % LOOKS > 0) return this.measured.memory;
-    return memoryBytes() / (settings.platform.deployment.quota.mem_mb * MB);
+    const { resident, heap, heapMost } = memory();
+    this.heaps.push(heapMost > 0 ? heap / heapMost : 0);
+    if (this.heaps.length > HEAPS) this.heaps.shift();
+    return Math.max(resident / (settings.platform.deployment.quota.mem_mb * MB), Math.min(...this.heaps));
   }
 
   /** Whether this is to wait; whoever asks says so at once to whom it concerns. */
@@ -119,3 +134,5 @@
 const LOOKS = 10;
 /** Of these, how many the lag is the worst of: it is to be over soon after its cause is. */
 const REMEMBERED = 4;
+/** Looks at the heap, one each report interval, of which the least counts. */
+const HEAPS = 4;
--- a/src/rehearsal/spawn.ts
+++ b/src/rehearsal/spawn.ts
@@ -3,6 +3,7 @@
 import { Calls } from "../calls/calls.js";
 import { callPolicies } from "../calls/policy.js";
 import { Controller } from "../controller.js";
+import type { Held } from "../overload/overload.js";
 import type { PeerApi } from "../peers/links.js";
 import type { Log } from "../platform/log.js";
 import { Scope } from "../platform/scope.js";
@@ -13,7 +14,7 @@
 import { checkPlatform } from "../settings/platform-file.js";
 
 /** This very controller, in the time and among the services of a rehearsal. */
-export function spawnController(asked: Spawned) {
+export function spawnController(asked: Spawned, memory?: () => Held) {
   const settings = derive(checkPlatform("rehearsal", asked.platform), checkOperators("rehearsal", {}));
   const log = { ...asked.log, isLevelEnabled: () => false } as unknown as Log;
   const scope = new Scope(new WatchfulClock(asked.clock, settings.timing.stallMs), log);
@@ -21,7 +22,7 @@
   // The same life draws the same pauses: a rehearsal repeats by its seed.
   const luck = luckOf(createHash("sha256").update(`${settings.self} ${asked.life}`).digest().readInt32BE());
   const calls = new Calls(scope.clock, callPolicies({ timing: settings.timing, writeRps: settings.state.writeRps }), luck);
-  const around = { state, cloud, workers, peers: asked.peers as unknown as PeerApi, calls };
+  const around = { state, cloud, workers, peers: asked.peers as unknown as PeerApi, calls, ...(memory === undefined ? {} : { memory }) };
   const controller = new Controller(settings, around, scope, asked.life);
   controller.start();
   return Object.assign(controller, {
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -1,6 +1,7 @@
 import { createServer as createHttpServer } from "node:http";
 import { createServer } from "node:net";
 import { randomInt } from "node:crypto";
+import { getHeapStatistics } from "node:v8";
 import { Calls } from "./calls/calls.js";
 import { callPolicies } from "./calls/policy.js";
 import { Controller } from "./controller.js";
@@ -48,7 +49,10 @@
       workers: new HttpWorkers(calls.of("worker.order").policy.limitMs, commandsAtOnce(deployment.quota.sockets), settings.self),
       peers,
       calls,
-      memoryBytes: () => process.memoryUsage.rss(),
+      memory: () => {
+        const { used_heap_size: heap, heap_size_limit: heapMost } = getHeapStatistics();
+        return { resident: process.memoryUsage.rss(), heap, heapMost };
+      },
     },
     scope,
   );
--- a/src/workers/report-lane.ts
+++ b/src/workers/report-lane.ts
@@ -7,6 +7,8 @@
 const REQUEST = Buffer.from(`POST ${REPORT_PATH} HTTP/1.1\r\n`, "latin1");
 const HEAD_END = "\r\n\r\n";
 const MAX_HEAD = 8 * 1024;
+/** Answers a connection may hold unread: two of the longest. A sender that does not read waits for nothing of ours. */
+const MOST_UNREAD = 2 * 64 * 1024;
 const HEADER = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\0\r\n]*?)[ \t]*$/;
 /** What makes a request more than a head and so many bytes: left to Node's parser. */
 const NOT_OURS = new Set(["transfer-encoding", "expect", "upgrade", "trailer"]);
@@ -120,9 +122,13 @@
 
   private take(lane: Lane, chunk: Buffer): void {
     lane.heardAt = this.clock.now();
+    if (lane.socket.writableLength > MOST_UNREAD) {
+      lane.socket.destroy();
+      return;
+    }
     let bytes = lane.pending === null ? chunk : Buffer.concat([lane.pending, chunk]);
     lane.pending = null;
-    while (bytes.length > 0) {
+    while (bytes.length > 0 && !lane.socket.destroyed) {
       const reading = readRequest(bytes);
       if (reading.kind === "more") {
         lane.pending = bytes;
--- a/test/report-lane.test.ts
+++ b/test/report-lane.test.ts
@@ -204,3 +204,28 @@
     here.close();
   }
 });
+
+// Memory is scarce: whoever sends without reading must not have its answers piled up here.
+test("a sender that never reads its answers is cut off, and others are not", async () => {
+  const here = await place();
+  const slow = connect({ host: "127.0.0.1", port: here.port });
+  slow.pause();
+  let cut = false;
+  slow.on("error", () => (cut = true)).on("close", () => (cut = true));
+  await new Promise<void>((resolve) => slow.once("connect", resolve));
+  const burst = plain("i-slow").repeat(500);
+  for (let i = 0; i < 400 && !cut; i++) {
+    slow.write(burst);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  // What lies in the kernel's buffers is read on, so that the end is seen.
+  slow.resume();
+  for (let i = 0; i < 300 && !cut; i++) await new Promise((resolve) => setTimeout(resolve, 10));
+  assert.ok(cut);
+  const other = connect({ host: "127.0.0.1", port: here.port });
+  const answer = new Promise<string>((resolve) => other.once("data", (data: Buffer) => resolve(data.toString())));
+  other.write(plain("i-000001"));
+  assert.match(await answer, /^HTTP\/1.1 200 /);
+  other.destroy();
+  here.close();
+});
