Account of work by class: what was begun, how each attempt ended, what was lost

Change: every place where an attempt is proven gone says how it ended; counted by class in bounded room, in /cluster and the log. Result: a test in virtual time through losses, cancellations and preemption: at every look each attempt that began still runs or is in exactly one end.

--- a/src/parts/consequences.ts
+++ b/src/parts/consequences.ts
@@ -24,6 +24,7 @@
       this.led.history.note(unit.spec, seconds);
     }
     for (const placement of findings.began) this.began(part, placement);
+    for (const ended of findings.ended) this.led.account.ended(ended);
     for (const unit of findings.broken) this.bringDown(part, unit);
     if (findings.changed) this.led.wake();
   }
@@ -31,6 +32,7 @@
   private began(part: Part, placement: Placement): void {
     const { spec, submittedWall, moved } = placement.unit;
     this.led.stats.starts++;
+    this.led.account.began(placement);
     this.recovery.began(part);
     this.led.began$.next({ klass: spec.klass, waitS: Math.max(0, this.led.scope.clock.wall() - submittedWall) / 1000 });
     this.led.scope.log.debug(
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -10,6 +10,7 @@
 import { RunHistory } from "../queue/history.js";
 import type { LocalOrder } from "../queue/order.js";
 import type { Shortage } from "../queue/pass.js";
+import { Account } from "../served/account.js";
 import type { Settings } from "../settings/derived.js";
 import type { Machine } from "../workers/machine.js";
 import type { Allotments } from "./allotments.js";
@@ -44,6 +45,7 @@
   private readonly holdings: Holdings;
   /** When the last stall ended in which this node's presence may have run out. */
   private wokeAt = -Infinity;
+  readonly account = new Account();
   readonly stats: LeadStats = { starts: 0, takeovers: 0, preemptions: 0, fencedMs: 0 };
 
   constructor(
--- a/src/parts/led.ts
+++ b/src/parts/led.ts
@@ -5,6 +5,7 @@
 import type { Shortage } from "../queue/pass.js";
 import type { Settings } from "../settings/derived.js";
 import type { Machine } from "../workers/machine.js";
+import type { Account } from "../served/account.js";
 import type { Part } from "./part.js";
 
 export interface LeadStats {
@@ -23,6 +24,8 @@
   readonly types: MachineType[];
   typeOf(name: string): MachineType | undefined;
   readonly stats: LeadStats;
+  /** What became of the work led here, by class. */
+  readonly account: Account;
   /** Machines with orders that should not wait for the next report. */
   readonly dispatch$: Subject<{ part: Part; machine: Machine }>;
   /** Teams short of allotment in a part. */
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -118,6 +118,7 @@
         },
         "processor by duty",
       );
+      log.info({ classes: controller.leader.account.view() }, "served");
     },
   );
   peers.start();
--- a/src/status/view.ts
+++ b/src/status/view.ts
@@ -43,6 +43,7 @@
     silent: ownership.silentNodes(),
     cutOffFromWorkers: fitness.unfit,
     overload: { level: LEVELS[overload.level], ...overload.measured, ...overload.stats },
+    served: leader.account.view(),
     stalls: stalls.count,
     stoodStillMs: stalls.ms,
     present: settings.nodes.filter((node) => ownership.alive(node)),
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -1,6 +1,7 @@
 import type { Order, Report, ReportedTask } from "@thorntrail/protocol/worker";
 import type { Part } from "../parts/part.js";
 import { markFinished, pieceName, place, release, suspect, type Placement, type Unit } from "../queue/unit.js";
+import type { End, Ended } from "../served/account.js";
 import { attemptKey, hold, letGo, type Machine } from "./machine.js";
 
 /** What a report brought about, for the shell to act on. */
@@ -13,6 +14,8 @@
   runs: { unit: Unit; seconds: number; host: string }[];
   /** Attempts that were first seen running. */
   began: Placement[];
+  /** Attempts that are proven gone, and how they ended. */
+  ended: Ended[];
   /** Gangs that lost a member and must come down before they can start again. */
   broken: Set<Unit>;
 }
@@ -30,7 +33,7 @@
 }
 
 export function newFindings(): Findings {
-  return { changed: false, finished: new Set(), runs: [], began: [], broken: new Set() };
+  return { changed: false, finished: new Set(), runs: [], began: [], ended: [], broken: new Set() };
 }
 
 export function splitPiece(piece: string): { ref: string; task: number } {
@@ -39,7 +42,9 @@
 }
 
 /** Takes an attempt off its machine: it is proven gone there. */
-function gone(machine: Machine, key: string, placement: Placement, now: number, findings: Findings): void {
+function gone(machine: Machine, key: string, placement: Placement, now: number, findings: Findings, end: End, kept = false): void {
+  const { runningAt, timed } = placement;
+  findings.ended.push({ placement, end, kept, ranS: runningAt === null || !timed ? 0 : Math.max(0, now - runningAt) / 1000 });
   letGo(machine, key);
   release(placement.unit, placement);
   findings.changed = true;
@@ -51,7 +56,7 @@
 
 /** The worker's lease ran out, the machine was deleted, or a new session began. */
 export function dropAll(machine: Machine, now: number, findings: Findings): void {
-  for (const [key, placement] of [...machine.placements]) gone(machine, key, placement, now, findings);
+  for (const [key, placement] of [...machine.placements]) gone(machine, key, placement, now, findings, "machine");
   machine.exited.clear();
 }
 
@@ -114,7 +119,14 @@
     default:
       break;
   }
-  gone(machine, key, placement, context.now, findings);
+  gone(machine, key, placement, context.now, findings, endOf(task, unit), task.saved);
+}
+
+function endOf({ cause }: ReportedTask, unit: Unit): End {
+  if (cause === "done" || cause === "error") return cause;
+  if (unit.ended) return "withdrawn";
+  if (cause === "stopped") return "stopped";
+  return cause === "mates_gone" || cause === "alone" ? "mates" : "refused";
 }
 
 function adopt(machine: Machine, task: ReportedTask, context: ReportContext): Placement {
@@ -217,13 +229,13 @@
     if (listed.has(key)) continue;
     if (placement.state !== null) {
       // It was there and is no longer listed, within one session: only `clear` does that.
-      gone(machine, key, placement, context.now, findings);
+      gone(machine, key, placement, context.now, findings, "unseen");
       continue;
     }
     // An order in an answer is executed before the next report or never; a direct
     // one without an answer may still come, so its attempt stays counted.
     const settled = placement.direct === "none" && context.viaReport && report.seq > placement.offeredSeq;
-    if (settled && (placement.stop !== null || placement.unit.ended)) gone(machine, key, placement, context.now, findings);
+    if (settled && (placement.stop !== null || placement.unit.ended)) gone(machine, key, placement, context.now, findings, "unseen");
   }
   return true;
 }
--- /dev/null
+++ b/test/account.test.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { plainPlan, World } from "@thorntrail/emulator/entry";
+import { encodeJob, type JobSpec } from "@thorntrail/protocol/jobs";
+import { spawnController } from "../src/rehearsal/spawn.js";
+import { Account, ENDS, type ClassAccount } from "../src/served/account.js";
+import { newUnit, type Placement } from "../src/queue/unit.js";
+import { Bits } from "../src/platform/bits.js";
+import { specOf } from "./world/parts.js";
+
+const TYPE = { name: "m", cpus: 8, gpus: 0, ram: 64, cacheGb: 100, fetchGbPerS: 1, price: 1, spotPrice: 0.5, bootS: 5, zones: ["a"] };
+const endsOf = (account: ClassAccount): number => ENDS.reduce((sum, end) => sum + account.ends[end], 0);
+
+// An account that loses attempts, or counts them twice, would send whoever reads it after the wrong cause.
+test("every attempt that began is still running or in exactly one end, through losses, cancellations and preemption", async () => {
+  const plan = plainPlan();
+  plan.teams = [{ name: "ops", cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 }];
+  plan.types = [TYPE];
+  plan.capacity = new Map([["m/a/ordinary", 6]]);
+  const world = new World(plan, (asked) => spawnController(asked));
+  for (const name of world.nodes.keys()) world.startNode(name);
+  await world.clock.run(8000);
+  const submit = (spec: JobSpec, runMs: number): void => {
+    world.runs.set(spec.ref, runMs);
+    void world.submit(encodeJob(spec), spec);
+  };
+  for (let i = 0; i < 6; i++)
+    submit(specOf({ ref: `run-00000${i}`, klass: "low", urgency: "low", tasks: 16, cpus: 1, guessS: 20 }), 20_000);
+  await world.clock.run(40_000);
+  submit(specOf({ ref: "run-000010", klass: "close", kind: "gang", urgency: "urgent", tasks: 3, cpus: 8, guessS: 15 }), 15_000);
+  submit(specOf({ ref: "run-000011", klass: "close", kind: "gang", urgency: "urgent", tasks: 2, cpus: 8, guessS: 15 }), 15_000);
+  await world.clock.run(50_000);
+  const busy = [...world.workers.values()].find((worker) => worker.tasks.size > 0)!;
+  world.cloud.remove(busy.host);
+  void world.cancel("run-000005");
+  let checked = 0;
+  const sums: Record<string, number> = { done: 0, stopped: 0, machine: 0, withdrawn: 0 };
+  for (let at = 55_000; at <= 400_000; at += 23_000) {
+    await world.clock.run(at);
+    for (const { controller } of world.nodes.values()) {
+      const running = new Map<string, number>();
+      for (const part of controller!.leader.parts.values())
+        for (const machine of part.machines.values())
+          for (const { unit, runningAt } of machine.placements.values())
+            if (runningAt !== null) running.set(unit.spec.klass, (running.get(unit.spec.klass) ?? 0) + 1);
+      for (const [klass, account] of Object.entries(controller!.leader.account.view())) {
+        assert.equal(endsOf(account) + (running.get(klass) ?? 0), account.begun, `${klass} at ${at}`);
+        checked++;
+      }
+    }
+  }
+  for (const { controller } of world.nodes.values())
+    for (const account of Object.values(controller!.leader.account.view()))
+      for (const end of Object.keys(sums)) sums[end]! += account.ends[end as "done"];
+  assert.ok(checked > 20);
+  assert.ok(sums["done"]! >= 5 * 16 && sums["stopped"]! > 0 && sums["machine"]! > 0 && sums["withdrawn"]! > 0, JSON.stringify(sums));
+  for (const name of world.nodes.keys()) world.killNode(name);
+});
+
+test("class names from users take bounded room", () => {
+  const account = new Account();
+  for (let i = 0; i < 500; i++) {
+    const unit = newUnit("t/j/x", specOf({ klass: `class-${i}` }), 0, 1, new Bits(1), 0, 0);
+    account.began({ unit } as Placement);
+  }
+  const view = account.view();
+  assert.ok(Object.keys(view).length <= 51);
+  assert.equal(
+    Object.values(view).reduce((sum, one) => sum + one.begun, 0),
+    500,
+  );
+});
