Builds beside each other, and starts without a cache or with a broken one, are tested

Cause, found in the read-through: two builds of the same sources renamed each other's files away; a request that needed express would have hung had it failed to load. Change: files of a build carry its process id until they are whole; such requests get 503. Result: tests that V8 takes the cache with the flags of run, and that serve works with none, a broken and a cut one.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -91,10 +91,11 @@
 if (!existsSync(`target/${name}.cache`)) await warm();
 await clear();
 
-/** Whole or not at all: a controller may be starting from the file of before. */
+/** Whole or not at all: a controller may be starting from the file of before, another build be writing it. */
 async function put(path, content) {
-  await writeFile(`${path}.new`, content);
-  await rename(`${path}.new`, path);
+  const own = `${path}.${process.pid}.new`;
+  await writeFile(own, content);
+  await rename(own, path);
 }
 
 /** Plays the build's rehearsal and keeps the largest cache of its controllers: the one that did most. */
@@ -105,11 +106,12 @@
     timeout: 60_000,
   });
   const made = (await readdir("target")).filter((one) => one.startsWith(`${name}.cache.`));
-  const sizes = await Promise.all(made.map(async (one) => [(await stat(`target/${one}`)).size, one]));
-  const best = sizes.sort((a, b) => b[0] - a[0])[0];
-  if (best === undefined)
+  // Another build of the same sources may be at it as well, and take what it finds.
+  const sizes = await Promise.all(made.map(async (one) => [(await stat(`target/${one}`).catch(() => ({ size: 0 }))).size, one]));
+  const best = sizes.filter(([size]) => size > 0).sort((a, b) => b[0] - a[0])[0];
+  if (best === undefined && !existsSync(`target/${name}.cache`))
     process.stderr.write(`build: no code cache, controllers start slower: ${run.error?.message ?? run.stderr.slice(-500)}\n`);
-  else await rename(`target/${best[1]}`, `target/${name}.cache`);
+  else if (best !== undefined) await rename(`target/${best[1]}`, `target/${name}.cache`).catch(() => undefined);
 }
 
 /**
@@ -123,5 +125,8 @@
     ...(await readdir("target/chunks")).map((one) => `target/chunks/${one}`),
     ...(await readdir("target")).filter((one) => one.startsWith("service-")).map((one) => `target/${one}`),
   ];
-  for (const path of paths) if (!kept.has(path) && Date.now() - (await stat(path)).mtimeMs > DAY_MS) await rm(path);
+  for (const path of paths) {
+    const { mtimeMs } = await stat(path).catch(() => ({ mtimeMs: Date.now() }));
+    if (!kept.has(path) && Date.now() - mtimeMs > DAY_MS) await rm(path, { force: true });
+  }
 }
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -6,7 +6,7 @@
 import { callPolicies } from "./calls/policy.js";
 import { Controller } from "./controller.js";
 import { HttpCloud } from "./fleet/cloud-client.js";
-import { answersShortly, type FrontDoor } from "./intake/server.js";
+import { answersShortly, FAULT, send, type FrontDoor } from "./intake/server.js";
 import { HttpState } from "./ledger/state-client.js";
 import { PeerLinks } from "./peers/links.js";
 import { systemClock } from "./platform/clock.js";
@@ -78,7 +78,11 @@
     if (req.url === REPORT_PATH && req.method === "POST") serveReport(reports, req, res);
     else
       scope.costs.spend("users", () => {
-        if (!answersShortly(door, req, res)) void app().then((handle) => handle(req, res));
+        if (!answersShortly(door, req, res))
+          void app().then(
+            (handle) => handle(req, res),
+            () => send(door, res, FAULT),
+          );
       });
   });
   // Peers, workers and clients close connections; we keep them, within the quota.
--- /dev/null
+++ b/test/launch.test.ts
@@ -0,0 +1,55 @@
+import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
+import { cpSync, mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { parse } from "smol-toml";
+
+const run = (parse(readFileSync("deploy/service.toml", "utf8")) as { run: string }).run.split(/\s+/).slice(1);
+const flags = run.slice(0, run.indexOf("target/main.js"));
+const node = (args: string[]) => spawnSync(process.execPath, args, { encoding: "utf8" });
+const name = /service-[0-9a-f]{16}\.cjs/.exec(readFileSync("target/main.js", "utf8"))![0];
+
+/** Whether V8 takes the cache over in a process with these flags. */
+function taken(withFlags: string[]): boolean {
+  const code = `
+    const { Script } = require("node:vm"), { readFileSync } = require("node:fs");
+    const source = "(function(exports,require,module,__filename,__dirname){" + readFileSync("target/${name}", "latin1") + "\\n})";
+    const script = new Script(source, { cachedData: readFileSync("target/${name}.cache") });
+    process.stdout.write(String(script.cachedDataRejected));`;
+  return node([...withFlags, "-e", code]).stdout === "false";
+}
+
+// A cache that V8 refuses makes every start dearer than none at all, and nothing else would show it.
+test("the code cache of the build is taken by a process with the flags of run, and by no other", () => {
+  assert.ok(readdirSync("target").includes(`${name}.cache`), "the build made no cache");
+  assert.ok(taken(flags));
+  assert.ok(!taken([...flags, "--no-lazy"]));
+});
+
+test("serve says what is wrong in one line, with a cache, without one, and with a broken one", () => {
+  const dir = mkdtempSync(join(tmpdir(), "thorntrail-launch-"));
+  for (const file of ["main.js", "package.json", "operators.json", name]) cpSync(`target/${file}`, join(dir, file));
+  const serve = () => node([...flags, join(dir, "main.js"), "serve", "--config", join(dir, "none.toml")]);
+  const seen = [
+    undefined,
+    readFileSync(`target/${name}.cache`),
+    Buffer.from("not a cache"),
+    readFileSync(`target/${name}.cache`).subarray(0, 5000),
+  ];
+  for (const cache of seen) {
+    if (cache !== undefined) writeFileSync(join(dir, `${name}.cache`), cache);
+    const { status, stderr } = serve();
+    assert.equal(status, 3, stderr);
+    assert.match(stderr, /^thorntrail: .*none\.toml: cannot be read: .*\n$/);
+  }
+  rmSync(dir, { recursive: true });
+});
+
+test("a wrong command line is told, not taken for a start", () => {
+  for (const args of [["serve"], ["serve", "--config"], ["serve", "--config", "a", "b"], ["serve", "--confg", "a"]]) {
+    const { status, stderr } = node(["target/main.js", ...args]);
+    assert.equal(status, 2, `${args.join(" ")}: ${stderr}`);
+  }
+});
