--- a/src/queue/order.ts
+++ b/src/queue/order.ts
@@ -64,9 +64,10 @@
       const within = context.finishS(unit.spec.klass);
       const run = context.expectS(unit);
       const work = run * Math.ceil(unit.waiting.length / USUAL_WIDTH);
-      if (!Number.isFinite(within)) return unit.submittedWall + 1000 * upTo(context.yieldS, work);
-      const age = (context.nowWall - unit.submittedWall) / 1000;
       const start = context.startS(unit.spec.klass);
+      // A class that should start in time is put back by less than that time.
+      if (!Number.isFinite(within)) return unit.submittedWall + 1000 * upTo(Math.min(context.yieldS, start), work);
+      const age = (context.nowWall - unit.submittedWall) / 1000;
       return unit.submittedWall + 1000 * (upTo(within, work) + (age > start ? start : 0) + (age + run > within ? within : 0));
     },
   };
--- a/test/served.test.ts
+++ b/test/served.test.ts
@@ -105,6 +105,16 @@
   );
 });
 
+// Archive pages of sixty tasks should start within 40 s: behind every smaller job they would not.
+test("a class that should start in time is put back by no more than that time", () => {
+  const { part } = partOf(1, { cpus: 8, gpus: 0, ram: 64 });
+  const [large, small] = [60, 1].map((tasks, i) => queueUp(part, specOf({ ref: `run-00000${i}`, tasks }))) as [Unit, Unit];
+  small.submittedWall = 41_000;
+  const due = orderAt(100, "aims", { startS: () => 40 });
+  assert.ok(due.arrival(large) < due.arrival(small));
+  assert.ok(orderAt(100).arrival(small) < orderAt(100).arrival(large));
+});
+
 test("work within a guarantee keeps its turn whatever its size, and so does first come where it is asked for", () => {
   const { part } = partOf(1, { cpus: 8, gpus: 0, ram: 64 });
   const large = queueUp(part, specOf({ ref: "run-000001", tasks: 500 }));
