--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -88,7 +88,8 @@
 await put("target/package.json", '{"type":"commonjs"}\n');
 await put("target/chunks/package.json", '{"type":"module"}\n');
 
-if (!existsSync(`target/${name}.cache`)) await warm();
+// A port may be taken between being found free and being listened on: once more is enough.
+for (let tries = 0; tries < 2 && !existsSync(`target/${name}.cache`); tries++) await warm();
 await clear();
 
 /** Whole or not at all: a controller may be starting from the file of before, another build be writing it. */
