--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -33,6 +33,13 @@
       from: { path: "^packages/graphs/src" },
       to: { path: "^(src|test|packages/(?!protocol/|graphs/))" },
     },
+    {
+      name: "overload-asks-none",
+      comment: "Whoever is asked by all must not need any of them.",
+      severity: "error",
+      from: { path: "^src/overload" },
+      to: { path: "^(src/(?!overload/|platform/|settings/)|packages)" },
+    },
     {
       name: "controller-through-one-entry",
       comment: "The controller loads a package through its entry alone, when it is asked for.",
