Read-through: thresholds of overload worked out once; one way into the command line

Cause: the thresholds follow from the settings alone and were made anew ten times each report interval; the launcher and its stand-in in the build loaded the command line with the same line each. Change: behaviour as before.

--- a/src/launch/script.ts
+++ b/src/launch/script.ts
@@ -23,3 +23,8 @@
   wrapper(module.exports, createRequire(file), module, file, dirname(file));
   return { script, service: module.exports };
 }
+
+/** Everything but a plain start: the command line, with what the command needs. */
+export function commands(dir: string): void {
+  void import(`${dir}/cli.mjs`).then((cli: { main: (dir: string) => Promise<void> }) => cli.main(dir));
+}
--- a/src/launch/start.ts
+++ b/src/launch/start.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
-import { open } from "./script.js";
+import { commands, open } from "./script.js";
 
 declare const SERVICE_FILE: string;
 
@@ -21,4 +21,4 @@
 const [, , verb, option, config, ...more] = process.argv;
 if (verb === "serve" && option === "--config" && config !== undefined && more.length === 0)
   open(join(__dirname, SERVICE_FILE), cache()).service.main(__dirname, config);
-else void import(`${__dirname}/cli.mjs`).then((cli: { main: (dir: string) => Promise<void> }) => cli.main(__dirname));
+else commands(__dirname);
--- a/src/launch/warm.ts
+++ b/src/launch/warm.ts
@@ -1,6 +1,6 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { open } from "./script.js";
+import { commands, open } from "./script.js";
 
 declare const SERVICE_FILE: string;
 
@@ -13,4 +13,4 @@
   const { script, service } = open(file);
   service.main(__dirname, process.argv[4]!);
   setTimeout(() => writeFileSync(`${file}.cache.${process.pid}`, script.createCachedData()), WARM_MS);
-} else void import(`${__dirname}/cli.mjs`).then((cli: { main: (dir: string) => Promise<void> }) => cli.main(__dirname));
+} else commands(__dirname);
--- a/src/overload/overload.ts
+++ b/src/overload/overload.ts
@@ -1,6 +1,6 @@
 import type { Scope } from "../platform/scope.js";
 import type { Settings } from "../settings/derived.js";
-import { LEVELS, nextLevel, sheds, thresholdsOf, type Level, type Measured, type Sheddable } from "./levels.js";
+import { LEVELS, nextLevel, sheds, thresholdsOf, type Level, type Measured, type Sheddable, type Thresholds } from "./levels.js";
 
 /** Waits told to users, in seconds: they come back by then, or give up after 60. */
 const LEAST_WAIT_S = 1;
@@ -39,7 +39,12 @@
   private looks = 0;
   private readonly heaps: number[] = [];
 
-  constructor(private readonly around: OverloadAround) {}
+  private readonly thresholds: Thresholds;
+
+  constructor(private readonly around: OverloadAround) {
+    const { timing, nodes } = around.settings;
+    this.thresholds = thresholdsOf(timing, nodes.length);
+  }
 
   start(): void {
     const { scope } = this.around;
@@ -61,7 +66,7 @@
   }
 
   private look(): void {
-    const { settings, scope } = this.around;
+    const { scope } = this.around;
     const now = scope.clock.now();
     this.late.push(Math.max(0, now - this.dueAt));
     if (this.late.length > REMEMBERED) this.late.shift();
@@ -72,7 +77,7 @@
       backlogS: this.backlogS(),
     };
     const before = this.level;
-    this.level = nextLevel(before, this.measured, thresholdsOf(settings.timing, settings.nodes.length));
+    this.level = nextLevel(before, this.measured, this.thresholds);
     const { stats, measured } = this;
     stats.worstLevel = Math.max(stats.worstLevel, this.level) as Level;
     stats.worstLagMs = Math.max(stats.worstLagMs, Math.round(measured.lagMs));
