A machine that does not hear the heir goes on under the former leader: its lease is not cut short by hearing from it

Cause: a new leader counts each machine as answered by the former one until that must have fallen silent (silence after the claim, then a lease). A single report to the heir set that back to the present, as if the heir's answer had reached the machine. Answers to copies of old reports no longer count as renewals either: they kept machines that had long died from being counted as lost.

The emulator learns three troubles: a machine that is deaf, late copies of reports, held-up commands in scenarios; the checker sees tasks left at the end of a history and jobs whose polls stay unanswered.

--- a/packages/emulator/src/checker.ts
+++ b/packages/emulator/src/checker.ts
@@ -5,14 +5,23 @@
   | { at: number; kind: "submitted"; spec: JobSpec }
   | { at: number; kind: "told"; ref: string; what: "accepted" | "queued" | "running" | "done" | "withdrawn" | "unknown" | "refused" }
   | { at: number; kind: "asked-cancel"; ref: string }
+  /** A poll that was answered neither 200 nor 404. */
+  | { at: number; kind: "unanswered"; ref: string }
   | { at: number; kind: "on"; piece: string; host: string; type: string; zone: string; spot: boolean }
   | { at: number; kind: "off"; piece: string; host: string; cause: string };
 
 export interface Limits {
   cancelMs: number;
   teams: Map<string, { cpus: number; gpus: number }>;
+  /** All troubles are over by then; without it, nothing is said of jobs whose polls stay unanswered. */
+  calmAt?: number;
+  /** When the history was closed: what is on a machine then is still there. */
+  until?: number;
 }
 
+/** After the troubles, a job about which no question is answered for so long is forgotten. */
+const FORGOTTEN_MS = 75_000;
+
 const refOf = (piece: string): string => piece.slice(0, piece.lastIndexOf("/"));
 
 /** Goes over a whole history and names every rule of the protocol it breaks. */
@@ -31,6 +40,8 @@
     return found;
   };
   const doneTasks = new Map<string, Set<string>>();
+  /** Of accepted jobs: the first of the polls that stayed unanswered, none answered since. */
+  const unansweredSince = new Map<string, number>();
   let started = 0;
   const say = (rule: string, at: number, detail: string): void => {
     broken.push(`${rule} at ${(at / 1000).toFixed(1)} s: ${detail}`);
@@ -56,8 +67,17 @@
       case "asked-cancel":
         askedCancel.add(event.ref);
         break;
+      case "unanswered": {
+        const since = unansweredSince.get(event.ref) ?? event.at;
+        unansweredSince.set(event.ref, since);
+        if (!accepted.has(event.ref) || event.at - Math.max(since, limits.calmAt ?? Infinity) <= FORGOTTEN_MS) break;
+        say("forgotten", event.at, `${event.ref} was answered nothing since ${(since / 1000).toFixed(1)} s`);
+        unansweredSince.set(event.ref, Infinity);
+        break;
+      }
       case "told": {
         const { ref, what } = event;
+        unansweredSince.delete(ref);
         const last = final.get(ref);
         if (what === "unknown") {
           if (accepted.has(ref)) say("forgotten", event.at, `${ref} got 404`);
@@ -137,6 +157,7 @@
       }
     }
   }
+  if (limits.until !== undefined) checkCancelled(limits.until);
   if (started === 0) broken.push("nothing_ran");
   return broken;
 }
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -72,6 +72,15 @@
   /** Fails every task that it starts. */
   z.strictObject({ kind: z.literal("sick"), target: machine }),
   z.strictObject({ kind: z.literal("cut-machine"), target: machine, ...lasting }),
+  /** Its reports arrive; answers and direct commands to it are lost. */
+  z.strictObject({ kind: z.literal("deaf"), target: machine, count: count.default(1), ...lasting }),
+  /** Of that share of all workers' reports a copy arrives again, 2 s to `ms` later. */
+  z.strictObject({
+    kind: z.literal("late-reports"),
+    share: z.number().min(0).max(1).default(0.2),
+    ms: z.number().min(2000).max(120_000).default(40_000),
+    ...lasting,
+  }),
   /** For so long, or from now on, so many machines of a type (`*`: of any) are to be had, in one zone or in all; those rented stay. */
   z.strictObject({
     kind: z.literal("capacity"),
@@ -224,6 +233,16 @@
       stage.prices(fault.factor);
       until(fault.for, () => stage.prices(1));
       return ["cloud"];
+    case "deaf":
+      return each(machinesOf(stage, fault.target, fault.count), (to) =>
+        until(fault.for, stage.rule({ from: "*", to, effect: { kind: "lose" } })),
+      );
+    case "late-reports":
+      until(
+        fault.for,
+        stage.rule({ from: "workers", to: "controllers", what: "report", effect: { kind: "again", share: fault.share, mostMs: fault.ms } }),
+      );
+      return stage.machines();
     case "cut-machine":
       return each(machinesOf(stage, fault.target), (from) => until(fault.for, stage.rule({ from, to: "*", effect: { kind: "cut" } })));
   }
--- a/packages/emulator/src/links.ts
+++ b/packages/emulator/src/links.ts
@@ -17,6 +17,10 @@
   | { kind: "late"; ms: number }
   /** Executed a second time, right after. */
   | { kind: "twice" }
+  /** Never arrives, and nobody says so. */
+  | { kind: "lose" }
+  /** Of that share, a copy arrives again, 2 s to `mostMs` later. */
+  | { kind: "again"; share: number; mostMs: number }
   /** Executed, and answered wrongly. */
   | { kind: "wrong"; form: WrongForm };
 
@@ -44,6 +48,10 @@
 /** Machines are named by the cloud, all in one form. */
 const isMachine = (name: string): boolean => name.startsWith("i-");
 const SERVICES = new Set(["state", "cloud"]);
+/** What is done to a message on its way, whatever it asks for. */
+const ON_THE_WAY = new Set<Effect["kind"]>(["cut", "delay", "lose", "again"]);
+/** A copy of a message comes no sooner. */
+const LEAST_AGAIN_MS = 2000;
 
 function matches(pattern: string, name: string): boolean {
   if (pattern === "*" || pattern === name) return true;
@@ -99,12 +107,24 @@
     return rule?.effect.kind === "delay" ? rule.effect.ms : 0;
   }
 
-  /** What becomes of the call, but for cuts and delays; counts against rules that meet so many. */
-  judge(call: Call): Exclude<Effect, { kind: "cut" } | { kind: "delay" }> | null {
-    const rule = this.find(call, ({ kind }) => kind !== "cut" && kind !== "delay");
+  /** It never arrives. */
+  loses(call: Call): boolean {
+    return this.find(call, ({ kind }) => kind === "lose") !== undefined;
+  }
+
+  /** In how many ms a copy of it arrives again; null: none does. */
+  againMs(call: Call, luck: () => number): number | null {
+    const effect = this.find(call, ({ kind }) => kind === "again")?.effect;
+    if (effect?.kind !== "again" || luck() >= effect.share) return null;
+    return LEAST_AGAIN_MS + luck() * Math.max(0, effect.mostMs - LEAST_AGAIN_MS);
+  }
+
+  /** What becomes of the call once it has arrived; counts against rules that meet so many. */
+  judge(call: Call): Exclude<Effect, { kind: "cut" | "delay" | "lose" | "again" }> | null {
+    const rule = this.find(call, ({ kind }) => !ON_THE_WAY.has(kind));
     if (rule === undefined) return null;
     rule.count--;
     if (rule.count <= 0) this.rules = this.rules.filter((other) => other !== rule);
-    return rule.effect as Exclude<Effect, { kind: "cut" } | { kind: "delay" }>;
+    return rule.effect as Exclude<Effect, { kind: "cut" | "delay" | "lose" | "again" }>;
   }
 }
--- a/packages/emulator/src/real/users.ts
+++ b/packages/emulator/src/real/users.ts
@@ -66,6 +66,7 @@
   async poll(ref: string): Promise<string> {
     const answer = await ask(this.agent, this.addr, "GET", `/v2/runs/${ref}`, undefined, PATIENCE_MS.poll);
     this.hear(ref, answer);
+    if (answer?.status !== 200 && answer?.status !== 404) this.history.push({ at: this.now(), kind: "unanswered", ref });
     const status = answer?.status === 200 ? objectOf(answer.text)["status"] : undefined;
     const seen = this.jobs.get(ref);
     if (seen !== undefined && (status === "done" || status === "withdrawn")) seen.final = status;
--- a/packages/emulator/src/real/worker-host.ts
+++ b/packages/emulator/src/real/worker-host.ts
@@ -82,9 +82,11 @@
     if (this.links.hold(call, () => void post())) return new Promise((resolve) => this.world.clock.after(PATIENCE_MS, () => resolve(null)));
     const delayMs = this.links.delayMs(call);
     if (delayMs > 0) await new Promise<void>((resolve) => this.world.clock.after(delayMs, resolve));
+    const againMs = this.links.againMs(call, this.world.luck);
+    if (againMs !== null) this.world.clock.after(againMs, () => void post());
     const answer = answerOf(await post());
     if (answer === null) this.stats.unanswered++;
-    return this.links.blocked(call) ? null : answer;
+    return this.links.blocked(call) || this.links.loses({ from: node, to: host, what: "answer" }) ? null : answer;
   }
 
   private async serve(host: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -103,7 +105,7 @@
       const { executed, report } = worker.command(token, session, orders);
       return { status: executed ? 200 : 409, text: JSON.stringify(encodeReport(report)), retryAfter: undefined };
     };
-    if (this.links.hold(call, () => void (worker.dead || run()))) return;
+    if (this.links.hold(call, () => void (worker.dead || run())) || this.links.loses(call)) return;
     const delayMs = this.links.delayMs(call);
     if (delayMs > 0) await new Promise<void>((resolve) => this.world.clock.after(delayMs, resolve));
     if (worker.dead || worker.hanging) return;
--- a/packages/emulator/src/virtual/world.ts
+++ b/packages/emulator/src/virtual/world.ts
@@ -148,7 +148,11 @@
   }
 
   limits(): Limits {
-    return { cancelMs: 43_000, teams: new Map(this.plan.teams.map((t) => [t.name, { cpus: t.cpus_max, gpus: t.gpus_max }])) };
+    return {
+      cancelMs: 43_000,
+      until: this.clock.now(),
+      teams: new Map(this.plan.teams.map((t) => [t.name, { cpus: t.cpus_max, gpus: t.gpus_max }])),
+    };
   }
 
   private settingsOf(name: string): Record<string, unknown> {
@@ -277,6 +281,7 @@
     this.clock.after(0.5 + this.random() * 2 + this.links.delayMs(call), () => {
       if (!hold && (this.links.blocked(call) || this.links.refuses(call))) return;
       if (hold && this.links.hold(call, () => this.clock.after(1, run))) return;
+      if (this.links.loses(call)) return;
       run();
     });
   }
@@ -320,6 +325,10 @@
       nodes: [...this.nodes.keys()],
       report: (node, from, report) =>
         new Promise<ReportAnswer | null>((resolve) => {
+          const againMs = this.links.againMs({ from, to: node, what: "report" }, this.random);
+          // A copy finds whatever life the node has by then, and nobody waits for its answer.
+          if (againMs !== null)
+            this.clock.after(againMs, () => this.via(node)(() => void this.nodes.get(node)?.controller?.onReport(report)));
           this.carry(from, node, "report", () => {
             const target = this.nodes.get(node)?.controller;
             if (target === null || target === undefined) return resolve(null);
@@ -386,6 +395,7 @@
 
   async poll(ref: string, node?: string): Promise<string> {
     const answer = await this.ask("poll", ref, node);
+    if (answer?.status !== 200 && answer?.status !== 404) this.history.push({ at: this.clock.now(), kind: "unanswered", ref });
     if (answer === undefined) return "down";
     this.told(ref, answer.status, answer.body);
     return answer.status === 200 ? String(answer.body["status"]) : String(answer.status);
--- a/src/parts/report-desk.ts
+++ b/src/parts/report-desk.ts
@@ -49,10 +49,21 @@
       orders.push(...ordersFor(machine, "report", (task) => this.clearable(task), MAX_ORDERS));
       for (const placement of machine.placements.values()) if (placement.state === null) placement.offeredSeq = report.seq;
     } else if (!machine.up) this.cameUp.record(part, machine);
-    machine.answeredAt = this.led.now;
+    this.noteAnswer(machine, newer);
     return { kind: "orders", token: part.term, orders };
   }
 
+  /**
+   * Until when the machine's lease may have been renewed. An answer to what is no news renews nothing: a lease
+   * counts from when a report was sent, and that one was sent before the newest that came. A machine that has
+   * not shown our term may not hear us and go on under the former leader, whose last answer may come long
+   * after ours: its time is never cut short by hearing from it.
+   */
+  private noteAnswer(machine: Machine, newer: boolean): void {
+    const sentBy = newer ? this.led.now : machine.heardAt;
+    machine.answeredAt = machine.fenced && newer ? sentBy : Math.max(machine.answeredAt, sentBy);
+  }
+
   private clearable(task: ReportedTask): boolean {
     return task.cause !== "done" || this.progress.recordedDone(task.piece);
   }
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -178,12 +178,29 @@
       // cut X from Y for N: packets are held and delivered when it ends.
       const node = nodeNamed(a);
       const forMs = Number(step.words[step.words.indexOf("for") + 1]) * 1000;
-      const others: Record<string, string> = { state: "state", cloud: "cloud", workers: "workers", all: "*" };
+      const others: Record<string, string> = { state: "state", cloud: "cloud", workers: "workers", peers: "controllers", all: "*" };
       const other = others[c] ?? nodeNamed(c);
       const sides = a.startsWith("hosts-of:") ? hostsOf(world, a.slice("hosts-of:".length)) : [node];
       for (const side of sides) world.clock.after(forMs, world.links.add({ from: side, to: other, effect: { kind: "cut" } }));
       return;
     }
+    case "deafen":
+      // deafen X for N: what its machines report arrives; answers and direct commands to them are lost.
+      for (const to of hostsOf(world, a.replace("hosts-of:", "")))
+        world.clock.after(Number(c) * 1000, world.links.add({ from: "*", to, effect: { kind: "lose" } }));
+      return;
+    case "repeat-reports": {
+      // repeat-reports SHARE within S for N: copies of that share of the reports arrive up to S seconds later.
+      const effect = { kind: "again", share: Number(a), mostMs: Number(c) * 1000 } as const;
+      world.clock.after(Number(step.words[5]) * 1000, world.links.add({ from: "workers", to: "controllers", what: "report", effect }));
+      return;
+    }
+    case "delay": {
+      // delay NODE to X by S for N: its calls to X, or its commands to workers, take so much longer.
+      const rule = { from: nodeNamed(a), to: c, effect: { kind: "delay", ms: Number(step.words[5]) * 1000 } } as const;
+      world.clock.after(Number(step.words[7]) * 1000, world.links.add(rule));
+      return;
+    }
     case "refuse":
       world.clock.after(Number(c) * 1000, world.links.add({ from: nodeNamed(a), to: "state", effect: { kind: "refuse" } }));
       return;
