Where cancel_s leaves little room, silence comes sooner; where it leaves none, the settings are refused

Silence had a floor of one report interval: with cancel_s near lease_s the rule for cancelled tasks was given up without a word. Now half of what cancel_s leaves beyond a lease is kept at least, the program says so at the start and in check, and settings that leave nothing end with exit 3. With the users' settings the figure is as it was (21.96 s).

--- a/src/commands.ts
+++ b/src/commands.ts
@@ -28,7 +28,7 @@
     .action((options: { config: string }) => {
       const settings = load(dir, options.config);
       process.stdout.write(
-        `${JSON.stringify({ self: settings.self, nodes: settings.nodes, state: settings.state, timing: settings.timing, operators: settings.operators }, null, 2)}\n`,
+        `${JSON.stringify({ self: settings.self, nodes: settings.nodes, state: settings.state, timing: settings.timing, cautions: settings.cautions, operators: settings.operators }, null, 2)}\n`,
       );
     });
 
@@ -125,6 +125,7 @@
   interface Rehearse {
     virtual?: boolean;
     campaign?: number;
+    drawn?: number;
     processes: number;
     turn?: string;
     seed?: number;
@@ -141,16 +142,19 @@
       "virtual: faults met with moments by pairwise covering instead of the plan's own, at most n rehearsals",
       wholeNumber,
     )
-    .option("--processes <n>", "that share a campaign", wholeNumber, 1)
+    .option("--drawn <n>", "virtual: n rehearsals of two or three drawn faults each, the first by the seed", wholeNumber)
+    .option("--processes <n>", "that share a campaign or what is drawn", wholeNumber, 1)
     .addOption(new Option("--turn <i/n>").hideHelp())
     .option("--seed <n>", "instead of the plan's", wholeNumber)
     .option("--report <file>", "write the whole report as JSON")
     .action(async (plan: string, options: Rehearse) => {
-      const { seed, report, campaign, processes, turn } = options;
-      if (options.virtual !== true && campaign !== undefined) throw new InvalidArgumentError("--campaign needs --virtual");
+      const { seed, report, campaign, drawn, processes, turn } = options;
+      if (options.virtual !== true && (campaign ?? drawn) !== undefined)
+        throw new InvalidArgumentError("--campaign and --drawn need --virtual");
+      if (campaign !== undefined && drawn !== undefined) throw new InvalidArgumentError("--campaign or --drawn, not both");
       const { playHere, rehearseVirtual } = await import("./rehearsal/virtual.js");
       const program = itself();
-      if (options.virtual === true) return rehearseVirtual({ plan, seed, report, campaign, processes, turn, program });
+      if (options.virtual === true) return rehearseVirtual({ plan, seed, report, campaign, drawn, processes, turn, program });
       const { rehearseReal } = await import("@thorntrail/emulator/entry");
       await rehearseReal({ plan, program, seed, report, momentOf: await moments(), virtually: playHere });
     });
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -83,7 +83,7 @@
     const { calls } = around;
     this.calls = calls;
     const service = stateThrough(around.state, calls, clock);
-    const pace = { readGapMs: 3000 / (state.rps * share), blockMs: timing.contactMs / 4 };
+    const pace = { readGapMs: 3000 / (state.rps * share), blockMs: Math.min(timing.contactMs, timing.silentAfterMs / 2) / 4 };
     this.mirror = new Mirror(service, clock, requests, pace, calls.of("state.read"), scope.costs);
     this.rentals = new Rentals(this.mirror);
     this.needs = new Needs(this.mirror);
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -125,6 +125,7 @@
       log.info({ classes: controller.leader.account.view() }, "served");
     },
   );
+  for (const caution of settings.cautions) log.warn({ caution }, "settings leave little room");
   peers.start();
   controller.start();
   log.info({ parts: settings.nodes.length, timing }, "started");
--- a/src/settings/derived.ts
+++ b/src/settings/derived.ts
@@ -1,9 +1,12 @@
 import type { OperatorSettings } from "./operators.js";
-import type { PlatformSettings } from "./platform-file.js";
+import { SettingsError, type PlatformSettings } from "./platform-file.js";
 
 /** Clocks of different machines drift apart by at most this (PROTOCOL). */
 const DRIFT = 0.0005;
 
+/** Report intervals that are kept between the end of a lease and the end of a cancellation's time. */
+const KEPT_REPORTS = 1.2;
+
 /** A leader needs the rest for users, commands, and a part that it takes over. */
 const MACHINES_PER_SOCKET = 0.45;
 
@@ -47,6 +50,8 @@
   /** All controllers in one agreed order; parts have the same numbers. */
   nodes: string[];
   self: string;
+  /** What the settings leave less room for than usual; said at the start and by `check`. */
+  cautions: string[];
 }
 
 /**
@@ -58,14 +63,31 @@
   return { rps: least("rps"), writeRps: least("write_rps"), valueKb: least("value_kb"), txnOps: least("txn_ops") };
 }
 
+/**
+ * A cancellation told elsewhere at the moment of our last proof must have cleared by cancel_s: we fall silent,
+ * then the lease that our last answer renewed runs out (docs/design/meetings.md). A report interval and a fifth
+ * are kept for late timers and stalls; where cancel_s leaves no more than twice that, half of what it leaves: silence
+ * comes sooner, and never later than the rule bears.
+ */
+function silence(cancelS: number, leaseMs: number, reportMs: number): { silentAfterMs: number; cautions: string[] } {
+  const roomMs = cancelS * 1000 * (1 - DRIFT) - leaseMs * (1 + 2 * DRIFT);
+  if (roomMs <= 0)
+    throw new SettingsError(
+      `deployment.workers.cancel_s: ${cancelS}: expected more than lease_s (${leaseMs / 1000}): tasks of a cancelled job may run until a lease is over`,
+    );
+  const usualMs = reportMs * KEPT_REPORTS;
+  const silentAfterMs = roomMs - Math.min(usualMs, roomMs / 2);
+  const tight = roomMs / 2 < usualMs;
+  const told = `cancel_s is little more than lease_s: without the state service a controller leads for ${(silentAfterMs / 1000).toFixed(1)} s`;
+  return { silentAfterMs, cautions: tight ? [told] : [] };
+}
+
 export function derive(platform: PlatformSettings, operators: OperatorSettings): Settings {
   const { workers } = platform.deployment;
   const leaseMs = workers.lease_s * 1000;
   const reportMs = workers.report_s * 1000;
   const expiryMs = leaseMs * (1 + 2 * DRIFT) + reportMs / 5;
-  // A cancellation told elsewhere at the moment of our last proof must have
-  // cleared by cancel_s: we fall silent, then the lease runs out.
-  const silentAfterMs = Math.max(reportMs, workers.cancel_s * 1000 * (1 - DRIFT) - expiryMs - reportMs);
+  const { silentAfterMs, cautions } = silence(workers.cancel_s, leaseMs, reportMs);
   const nodes = [platform.host_name, ...platform.known.map((peer) => peer.host_name)].sort();
   return {
     platform,
@@ -74,6 +96,7 @@
     self: platform.host_name,
     mostMachines: Math.max(1, Math.floor(platform.deployment.quota.sockets * MACHINES_PER_SOCKET)),
     nodes,
+    cautions,
     timing: {
       leaseMs,
       reportMs,
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -55,6 +55,19 @@
   assert.throws(() => checkOperators("o.hcl", { queue: [{}, {}] }), /given more than once/);
 });
 
+test("where cancel_s leaves little room silence comes sooner, and where it leaves none the settings are refused", () => {
+  const of = (cancel: number) =>
+    derive(parsePlatform("s.toml", good.replace("cancel_s = 43.0", `cancel_s = ${cancel.toFixed(2)}`)), checkOperators("o.hcl", {}));
+  for (const cancel of [18.1, 18.5, 19, 20, 21, 23, 24.1, 30, 60]) {
+    const { timing, cautions } = of(cancel);
+    // Clocks that are slow, the leader's and the worker's.
+    const gone = (timing.silentAfterMs + timing.leaseMs) / (1 - 0.0005);
+    assert.ok(timing.silentAfterMs > 0 && gone < cancel * 1000, `${cancel}: gone after ${gone}`);
+    assert.equal(cautions.length, cancel < 24 ? 1 : 0, `${cancel}`);
+  }
+  for (const cancel of [10, 18, 18.02]) assert.throws(() => of(cancel), /deployment\.workers\.cancel_s: .* expected more than lease_s/);
+});
+
 test("a silent leader's workers have lost their leases before a cancellation is due", () => {
   const { timing, nodes } = derive(parsePlatform("s.toml", good), checkOperators("o.hcl", {}));
   assert.ok(timing.silentAfterMs + timing.expiryMs < 43_000);
