A rental that is over is not asked for again when a late copy brings its record back; late writes drawn

A rental's record goes with its last machine or when there is no capacity, so the first writing of it, left without an answer and carried out late, found no record once more and brought the rental back: the cloud was asked again. The leader of that term, the only one that can write it, remembers the names whose answer it has recorded. Found by test/late-writes.test.ts, which carries out a share of all transactions late and copies others: everything else is conditional on the key it changes, and a copy never applies twice.

A held call that the cloud refuses for its rate no longer ends the emulator.

--- /dev/null
+++ b/deploy/meetings.hcl
@@ -0,0 +1,121 @@
+# A plan for drawn rehearsals: long tasks of all three kinds, of which some jobs are cancelled, small jobs of a
+# few tasks, and a pipeline. `thorntrail rehearse deploy/meetings.hcl --virtual --drawn 200`
+name        = "meetings"
+seconds     = 100
+settle      = 220
+controllers = 3
+
+team {
+  name      = "mesa-azuay"
+  cpus      = 64
+  most_cpus = 120
+}
+team {
+  name      = "mesa-loja"
+  cpus      = 32
+  most_cpus = 96
+}
+
+machine {
+  name  = "redaccion"
+  cpus  = 16
+  ram   = 64
+  boot  = 2
+  count = 10
+}
+machine {
+  name       = "fotolab"
+  cpus       = 32
+  gpus       = 4
+  ram        = 128
+  price      = 4.2
+  spot_price = 1.1
+  boot       = 4
+  count      = 3
+  spot       = 3
+}
+
+work {
+  name     = "cierre"
+  team     = "mesa-azuay"
+  shape    = "gang"
+  urgency  = "urgent"
+  tasks    = 3
+  cpus     = 5
+  ram      = 8
+  run      = 14
+  saves    = 4
+  image_gb = 0.5
+  every    = 9
+  jobs     = 8
+}
+work {
+  name            = "borrador" # long editions that are given up
+  team            = "mesa-azuay"
+  shape           = "gang"
+  tasks           = 2
+  cpus            = 5
+  ram             = 8
+  run             = 200
+  saves           = 10
+  every           = 13
+  jobs            = 6
+  cancelled_after = 24
+}
+work {
+  name            = "fotos" # long batches that are given up
+  team            = "mesa-loja"
+  urgency         = "low"
+  tasks           = 4
+  cpus            = 4
+  gpus            = 1
+  ram             = 8
+  run             = 200
+  spot            = true
+  every           = 14
+  jobs            = 6
+  cancelled_after = 19
+}
+work {
+  name            = "portada" # replicas, until they are cancelled
+  team            = "mesa-azuay"
+  shape           = "service"
+  urgency         = "critical"
+  tasks           = 2
+  cpus            = 2
+  run             = 1
+  every           = 30
+  jobs            = 3
+  cancelled_after = 50
+}
+work {
+  name  = "pareja" # few tasks that end far apart
+  team  = "mesa-loja"
+  tasks = 3
+  cpus  = 5
+  run   = 25
+  every = 8
+  jobs  = 9
+}
+work {
+  name     = "indice"
+  team     = "mesa-loja"
+  urgency  = "low"
+  tasks    = 4
+  cpus     = 2
+  run      = 4
+  every    = 12
+  jobs     = 5
+  image_gb = 0.2
+}
+work {
+  name     = "portal"
+  team     = "mesa-azuay"
+  urgency  = "urgent"
+  cpus     = 1
+  run      = 2
+  every    = 12
+  jobs     = 5
+  after    = "indice"
+  image_gb = 0.2
+}
--- a/packages/emulator/src/campaign.ts
+++ b/packages/emulator/src/campaign.ts
@@ -38,6 +38,8 @@
   "machine sick": () => ({ kind: "sick" }),
   "machine slow": () => ({ kind: "slow", factor: 5 }),
   "machine cut": (s) => ({ kind: "cut-machine", for: s }),
+  "machine deaf": (s) => ({ kind: "deaf", for: s }),
+  "late reports": (s) => ({ kind: "late-reports", share: 0.5, ms: 25_000, for: s }),
 };
 
 export interface Case {
--- a/packages/emulator/src/commands.ts
+++ b/packages/emulator/src/commands.ts
@@ -5,6 +5,7 @@
 import { BRISK, USUAL } from "./place.js";
 import type { MomentOf } from "./conductor.js";
 import { cases, coverageTable, planOf, type Case, type Covered } from "./campaign.js";
+import { drawnPlan } from "./drawn.js";
 import { loadPlan, type RehearsalPlan } from "./plan.js";
 import { decodeFault } from "./faults.js";
 import { serveAdmin } from "./real/admin.js";
@@ -150,6 +151,8 @@
   report: string | undefined;
   /** Instead of the plan's own faults: every pair of fault and moment, at most so many rehearsals. */
   campaign: number | undefined;
+  /** Instead of the plan's own faults: so many rehearsals of two or three drawn ones each, from the seed on. */
+  drawn?: number | undefined;
   /** Only the cases of this turn, as `2/8`: for one of the processes that share a campaign. */
   turn?: string | undefined;
   /** Processes that share the campaign, and this program, to start them. */
@@ -166,6 +169,22 @@
   const { spawn, momentOf } = options;
   const play = (one: RehearsalPlan): ReturnType<typeof playVirtual> => playVirtual({ plan: one, seed, spawn, momentOf });
   const { say, end } = teller();
+  if (options.drawn !== undefined) {
+    const seeds = inTurn(
+      Array.from({ length: options.drawn }, (_, i) => seed + i),
+      options.turn,
+    );
+    const { processes = 1, program } = options;
+    const shared = processes > 1 && program !== undefined;
+    const played = shared
+      ? await shareOut<Drawn>({ ...options, seed, processes: Math.min(processes, seeds.length), program, count: seeds.length, say }, [
+          "--drawn",
+          String(options.drawn),
+        ])
+      : [await drawn(plan, seeds, (one, luck) => playVirtual({ plan: one, seed: luck, spawn, momentOf }), say)];
+    end();
+    return tellDrawn(plan, seed, { played: played.flatMap((one) => one.played), bad: played.flatMap((one) => one.bad) }, options.report);
+  }
   if (options.campaign === undefined) {
     const report = await play(plan);
     if (report.broken.length > 0) await shortest(plan, report, play, say, end);
@@ -175,7 +194,12 @@
   const { processes = 1, program } = options;
   const played =
     processes > 1 && program !== undefined
-      ? await shareCampaign({ ...options, seed, processes: Math.min(processes, chosen.length), program, count: chosen.length, say })
+      ? together(
+          await shareOut<Campaign>(
+            { ...options, seed, processes: Math.min(processes, chosen.length), program, count: chosen.length, say },
+            ["--campaign", String(options.campaign)],
+          ),
+        )
       : await campaign(plan, chosen, play, say);
   end();
   tellCampaign(plan, seed, played, options.report);
@@ -221,26 +245,77 @@
   return { covered, bad };
 }
 
-/** Cases know nothing of each other: processes take them in turn, and their reports are put together. */
-async function shareCampaign(asked: {
-  plan: string;
-  seed: number;
-  campaign: number | undefined;
-  processes: number;
-  program: string[];
-  count: number;
-  say: (text: string) => void;
-}): Promise<Campaign> {
+const together = (parts: Campaign[]): Campaign => ({
+  covered: parts.flatMap(({ covered }) => covered),
+  bad: parts.flatMap(({ bad }) => bad),
+});
+
+interface Drawn {
+  /** By seed: how many faults met somebody. */
+  played: { seed: number; met: number }[];
+  bad: { seed: number; broken: string[]; unfinished: string[]; trouble: string[]; shortest: { work: string[]; fault: unknown } }[];
+}
+
+async function drawn(
+  base: RehearsalPlan,
+  seeds: number[],
+  play: (one: RehearsalPlan, seed: number) => ReturnType<typeof playVirtual>,
+  say: (text: string) => void,
+): Promise<Drawn> {
+  const result: Drawn = { played: [], bad: [] };
+  for (const [i, seed] of seeds.entries()) {
+    say(`${i + 1} of ${seeds.length}: drawn ${seed}`);
+    const plan = drawnPlan(base, seed);
+    const report = await play(plan, seed);
+    const { broken, trouble, jobs } = report;
+    result.played.push({ seed, met: report.faults.filter(({ met }) => met.length > 0).length });
+    if (broken.length + trouble.length + jobs.unfinished.length === 0) continue;
+    const fails = async (one: RehearsalPlan): Promise<boolean> => {
+      const again = await play(one, seed);
+      return broken.length > 0 ? again.broken.length > 0 : again.jobs.unfinished.length + again.trouble.length > 0;
+    };
+    const { plan: shortest } = await shrink(plan, fails, SHRINK_RUNS / 3);
+    const told = { work: shortest.work.map(({ name }) => name), fault: shortest.fault };
+    result.bad.push({ seed, broken, unfinished: jobs.unfinished, trouble, shortest: told });
+  }
+  return result;
+}
+
+function tellDrawn(plan: RehearsalPlan, seed: number, { played, bad }: Drawn, report: string | undefined): void {
+  if (report !== undefined) writeFileSync(report, `${JSON.stringify({ plan: plan.name, seed, played, bad }, null, 2)}\n`);
+  for (const { seed: one, broken, unfinished, trouble, shortest } of bad) {
+    const what = [...broken, ...trouble].join("; ") || `unfinished: ${unfinished.join(", ")}`;
+    process.stdout.write(`drawn ${one}: ${what}\n  ${JSON.stringify(shortest)}\n`);
+  }
+  const meetings = played.filter(({ met }) => met > 1).length;
+  process.stdout.write(
+    `drawn: ${played.length} rehearsals, in ${meetings} two troubles met somebody, ${bad.filter((one) => one.broken.length > 0).length} broke a rule, ${bad.length} left work, logged an error or broke a rule\n`,
+  );
+  if (bad.length > 0) process.exitCode = 4;
+}
+
+/** Cases know nothing of each other: processes take them in turn; what each came to is put together by whoever asks. */
+async function shareOut<T>(
+  asked: {
+    plan: string;
+    seed: number;
+    processes: number;
+    program: string[];
+    count: number;
+    say: (text: string) => void;
+  },
+  which: string[],
+): Promise<T[]> {
   const dir = mkdtempSync(join(tmpdir(), "thorntrail-campaign-"));
   let told = 0;
   const [file, ...first] = asked.program as [string, ...string[]];
   const running = new Set<ChildProcess>();
   const endAll = (): void => running.forEach((child) => child.kill("SIGKILL"));
   process.once("exit", endAll);
-  const part = (i: number): Promise<Campaign> => {
+  const part = (i: number): Promise<T> => {
     const out = join(dir, `${i}.json`);
     const args = ["rehearse", asked.plan, "--virtual", "--seed", String(asked.seed), "--report", out];
-    args.push("--campaign", String(asked.campaign), "--turn", `${i}/${asked.processes}`);
+    args.push(...which, "--turn", `${i}/${asked.processes}`);
     const child = spawn(file, [...first, ...args], { stdio: ["ignore", "ignore", "pipe"] });
     running.add(child);
     let errors = "";
@@ -255,14 +330,13 @@
       child.once("exit", (code, signal) => {
         running.delete(child);
         // 4: a rule broke, which the report says.
-        if (code === 0 || code === 4) resolve(JSON.parse(readFileSync(out, "utf8")) as Campaign);
+        if (code === 0 || code === 4) resolve(JSON.parse(readFileSync(out, "utf8")) as T);
         else reject(new CommandFailed(`process ${i} of the campaign ended with ${code ?? signal}: ${errors.trim().split("\n").at(-1)}`));
       });
     });
   };
   try {
-    const parts = await Promise.all(Array.from({ length: asked.processes }, (_, i) => part(i)));
-    return { covered: parts.flatMap(({ covered }) => covered), bad: parts.flatMap(({ bad }) => bad) };
+    return await Promise.all(Array.from({ length: asked.processes }, (_, i) => part(i)));
   } finally {
     endAll();
     process.off("exit", endAll);
--- a/packages/emulator/src/conductor.ts
+++ b/packages/emulator/src/conductor.ts
@@ -1,5 +1,5 @@
 import type { Happening } from "./checker.js";
-import { carryOut, type Fault, type Stage } from "./faults.js";
+import { carryOut, lastsMs, type Fault, type Stage } from "./faults.js";
 import { seeded } from "./luck.js";
 import { submissions, type Moment, type Planned, type PlannedFault, type RehearsalPlan } from "./plan.js";
 import { Recoveries, tookOver } from "./recovery.js";
@@ -63,6 +63,7 @@
   readonly faults: Report["faults"] = [];
   readonly moments: MetMoment[] = [];
   takeovers = 0;
+  private lastTroubleMs = 0;
   private readonly told = new Map<string, "accepted" | "done" | "withdrawn">();
   private readonly pending: Extract<PlannedFault, { moment: Moment }>[];
   private began = 0;
@@ -149,6 +150,7 @@
     const act = (): void => {
       if (this.stopped) return;
       const met = carryOut(stage, fault);
+      this.lastTroubleMs = Math.max(this.lastTroubleMs, clock.now() + lastsMs(fault));
       this.faults.push({ at: Math.round(this.sinceMs) / 1000, kind: fault.kind, met });
       if (fault.kind === "restart" || fault.kind === "freeze" || fault.kind === "cut")
         for (const node of met) this.recoveries.lost(node, clock.now());
@@ -160,6 +162,11 @@
     else void prepared.then(act);
   }
 
+  /** All that struck so far is over by then, in ms. */
+  calmAt(): number {
+    return this.lastTroubleMs;
+  }
+
   over(ref: string): boolean {
     const state = this.told.get(ref);
     return state === "done" || state === "withdrawn";
--- /dev/null
+++ b/packages/emulator/src/drawn.ts
@@ -0,0 +1,113 @@
+import { decodeFault } from "./faults.js";
+import { seeded } from "./luck.js";
+import { MOMENTS, type PlannedFault, type RehearsalPlan } from "./plan.js";
+
+/**
+ * Meetings that nobody listed: two or three troubles of the whole vocabulary, the second placed where it
+ * matters, by seed. What a rehearsal of the seed was is told by its plan, which can be played again alone.
+ */
+type Draw = (luck: Luck) => Record<string, unknown>;
+
+class Luck {
+  constructor(private readonly next: () => number) {}
+
+  between(least: number, most: number): number {
+    return Math.round((least + this.next() * (most - least)) * 100) / 100;
+  }
+
+  whole(least: number, most: number): number {
+    return least + Math.floor(this.next() * (most - least + 1));
+  }
+
+  of<T>(list: readonly T[]): T {
+    return list[Math.floor(this.next() * list.length)]!;
+  }
+}
+
+/** Lengths in seconds: an instant, some reports, all but a lease, longer than a cancellation's time. */
+const LENGTHS: readonly (readonly [number, number])[] = [
+  [0.1, 1],
+  [2, 8],
+  [16, 19],
+  [22, 35],
+  [45, 60],
+];
+
+const nodes = (luck: Luck): string => luck.of(["leader", "leader", "nest-0", "nest-1", "nest-2"]);
+const lasting = (luck: Luck): number => luck.between(...luck.of(LENGTHS));
+
+const TROUBLES: readonly Draw[] = [
+  (luck) => ({
+    kind: "restart",
+    target: luck.of(["leader", "all", "nest-0", "nest-1"]),
+    for: luck.between(...luck.of(LENGTHS.slice(0, 4))),
+  }),
+  (luck) => ({ kind: "restart", target: nodes(luck), for: luck.between(0.05, 1) }),
+  (luck) => ({ kind: "freeze", target: nodes(luck), for: luck.between(1, 25) }),
+  (luck) => ({ kind: "refuse", target: nodes(luck), by: "state", for: lasting(luck) }),
+  (luck) => ({ kind: "outage", of: "state", for: lasting(luck) }),
+  (luck) => ({ kind: "outage", of: "cloud", for: lasting(luck) }),
+  (luck) => ({ kind: "restart-store", for: luck.between(0.5, 8) }),
+  (luck) => ({ kind: "cut", target: nodes(luck), from: luck.of(["state", "workers", "controllers", "cloud", "all"]), for: lasting(luck) }),
+  (luck) => ({
+    kind: "delay",
+    target: nodes(luck),
+    to: luck.of(["state", "workers"]),
+    ms: luck.whole(500, 9000),
+    for: luck.between(2, 30),
+  }),
+  (luck) => ({
+    kind: "late",
+    target: luck.of(["all", "leader"]),
+    by: "state",
+    what: "txn",
+    count: luck.whole(1, 5),
+    ms: luck.whole(2000, 12_000),
+  }),
+  (luck) => ({
+    kind: "late",
+    target: "all",
+    by: "cloud",
+    what: luck.of(["hire", "remove"]),
+    count: luck.whole(1, 3),
+    ms: luck.whole(2000, 60_000),
+  }),
+  (luck) => ({ kind: "drop", target: "all", by: "state", what: "txn", count: luck.whole(1, 5) }),
+  (luck) => ({ kind: "twice", target: "all", by: luck.of(["state", "cloud"]), count: luck.whole(1, 5) }),
+  (luck) => ({ kind: "wrong", target: "all", by: "state", what: "txn", form: "error-after", count: luck.whole(1, 3) }),
+  (luck) => ({ kind: "deaf", target: "busiest", count: luck.whole(1, 4), for: lasting(luck) }),
+  (luck) => ({ kind: "late-reports", share: luck.of([0.1, 0.5, 1]), ms: luck.whole(3000, 60_000), for: luck.between(5, 60) }),
+  (luck) => ({ kind: "cut-machine", target: "busiest", for: lasting(luck) }),
+  (luck) => ({ kind: "hang", target: "busiest", for: lasting(luck) }),
+  (luck) => ({ kind: "lose", target: "busiest", count: luck.whole(1, 3) }),
+  (luck) => ({ kind: "take", target: "busiest", notice: luck.between(0, 20) }),
+  (luck) => ({ kind: "slow", target: "busiest", factor: luck.whole(2, 5) }),
+];
+
+/** Machines are up by then, and the first work runs. */
+const WARM_S = 12;
+
+function trouble(luck: Luck): PlannedFault["fault"] {
+  const asked = luck.of(TROUBLES)(luck);
+  const decoded = decodeFault(asked);
+  if ("wrong" in decoded) throw new Error(`${JSON.stringify(asked)}: ${decoded.wrong}`);
+  return decoded.fault;
+}
+
+/** The plan with drawn troubles instead of its own; the same seed draws the same. */
+export function drawnPlan(base: RehearsalPlan, seed: number): RehearsalPlan {
+  const luck = new Luck(seeded(seed));
+  const first = trouble(luck);
+  const at = luck.between(WARM_S, Math.max(WARM_S, base.seconds * 0.6));
+  const fault: PlannedFault[] = [{ at, fault: first }];
+  const lastsS = "for" in first ? (first.for ?? 0) : 0;
+  for (let more = luck.whole(1, 2); more > 0; more--) {
+    const second = trouble(luck);
+    // Beside it, about when it ends, or at the next moment of a kind after it began.
+    const place = luck.whole(0, 2);
+    if (place === 0) fault.push({ at: at + luck.between(0, Math.max(2, lastsS)), fault: second });
+    else if (place === 1) fault.push({ at: at + Math.max(0, lastsS + luck.between(-1, 1)), fault: second });
+    else fault.push({ moment: luck.of(MOMENTS), after: at, fault: second });
+  }
+  return { ...base, name: `${base.name}, drawn ${seed}`, fault };
+}
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -143,6 +143,12 @@
   prices(factor: number): void;
 }
 
+/** How long it lasts, or until the last of what it sets off has come, in ms. */
+export function lastsMs(fault: Fault): number {
+  const forMs = "for" in fault ? (fault.for ?? 0) * 1000 : 0;
+  return forMs + ("ms" in fault ? fault.ms : 0) + ("notice" in fault ? fault.notice * 1000 : 0);
+}
+
 function controllersOf(stage: Stage, target: string): string[] {
   if (target === "all") return stage.controllers();
   return [target === "leader" ? stage.leader() : target];
--- a/packages/emulator/src/plan.ts
+++ b/packages/emulator/src/plan.ts
@@ -13,6 +13,8 @@
   "first-placement",
   "fencing",
   "handing-over",
+  "claim",
+  "cancellation",
   "cession",
   "done-before-clear",
   "rental-in-flight",
--- a/packages/emulator/src/virtual/node-clock.ts
+++ b/packages/emulator/src/virtual/node-clock.ts
@@ -13,10 +13,14 @@
   private arrived: (() => void)[] = [];
   private late: (() => void)[] = [];
 
-  constructor(private readonly world: VirtualClock) {}
+  constructor(
+    private readonly world: VirtualClock,
+    /** Steady seconds that it counts in one of the world's. */
+    private readonly rate = 1,
+  ) {}
 
   now(): number {
-    return this.world.now();
+    return this.world.now() * this.rate;
   }
 
   wall(): number {
@@ -25,7 +29,7 @@
 
   after(ms: number, fn: () => void): () => void {
     let cancelled = false;
-    const cancel = this.world.after(ms, () => this.fire(() => (cancelled ? undefined : fn())));
+    const cancel = this.world.after(ms / this.rate, () => this.fire(() => (cancelled ? undefined : fn())));
     return () => {
       cancelled = true;
       cancel();
--- a/packages/emulator/src/virtual/service-links.ts
+++ b/packages/emulator/src/virtual/service-links.ts
@@ -36,18 +36,20 @@
 /** One call through whatever lies in its way: the same rules that real sockets are put through. */
 export function reach<T>({ clock, links, node, via, latencyMs, down }: Reach, asked: Asked<T>): Promise<T> {
   const call = { from: node, to: asked.to, what: asked.what };
+  const execute = async (): Promise<T> => asked.run();
+  // Nobody hears what came of it, a refusal neither.
+  const executeUnheard = (): void => void execute().catch(() => undefined);
   return new Promise<T>((resolve, reject) => {
     const fail = (error: Error): void => via(() => reject(error));
     const silent = (why: string): void => void clock.after(asked.timeoutMs, () => fail(new NoReply("unanswered", why)));
     clock.after(latencyMs() + links.delayMs(call), () => {
-      if (links.hold(call, () => void Promise.resolve(asked.run()).catch(() => undefined))) return silent("cut");
+      if (links.hold(call, executeUnheard)) return silent("cut");
       const effect = links.judge(call);
       if (down() || effect?.kind === "refuse") return void clock.after(latencyMs(), () => fail(new NoReply("refused", "503")));
       if (effect?.kind === "late") {
-        clock.after(effect.ms, () => void Promise.resolve(asked.run()).catch(() => undefined));
+        clock.after(effect.ms, executeUnheard);
         return silent("held");
       }
-      const execute = async (): Promise<T> => asked.run();
       void execute().then(
         async (answer) => {
           if (effect?.kind === "twice") await execute().catch(() => undefined);
--- a/packages/emulator/src/virtual/world.ts
+++ b/packages/emulator/src/virtual/world.ts
@@ -26,6 +26,8 @@
   /** What the settings say of the limits that come later. */
   next: { rps?: number; write_rps?: number; value_kb?: number; txn_ops?: number };
   sockets?: number;
+  /** By how much the steady clocks of controllers and workers are slow, as a share: both the same way is the worst for leases. */
+  drift?: number;
   objectives?: { kind: string; class?: string; within_s?: number; share?: number }[];
   /** Shares of machines that never come up, come late or early; without it all boot in their nominal time. */
   boots?: NonNullable<CloudPlan["boots"]>;
@@ -192,7 +194,7 @@
       this.seen$.next({ at: this.clock.now(), node: name, what: text, detail: entry as Record<string, unknown> });
       if (process.env["SCENARIO_LOG"] !== undefined) console.log((this.clock.now() / 1000).toFixed(2), name, text, JSON.stringify(entry));
     };
-    const clock = new NodeClock(this.clock);
+    const clock = new NodeClock(this.clock, 1 - (this.plan.drift ?? 0));
     node.clock = clock;
     // What comes for a life that is over reaches nobody.
     const via: Via = (fn) => {
@@ -318,7 +320,7 @@
     const around: WorkerWorld = {
       clock: this.clock,
       reportMs: 2500,
-      leaseMs: 18_000,
+      leaseMs: 18_000 * (1 + (this.plan.drift ?? 0)),
       gangPeerMs: 4000,
       gangWaitMs: 35_000,
       luck: () => this.random(),
--- a/src/fleet/renting.ts
+++ b/src/fleet/renting.ts
@@ -6,6 +6,9 @@
 import type { Offers } from "./offers.js";
 import { MOST_OF_AN_OFFER, planHires, type HirePlan } from "./plan.js";
 
+/** Names of rentals kept after their end: many times what can be asked of the cloud while a late copy is on its way. */
+const MOST_CLOSED = 1000;
+
 /** Answer limits for which a job may wait for its turn to ask other parts before machines are rented for it. */
 const WEIGH_ANSWERS = 2;
 
@@ -17,6 +20,8 @@
   private readonly hiring = new Set<string>();
   private readonly plans = new WeakMap<Part, { at: number; plan: HirePlan }>();
   private hires = 0;
+  /** The newest names whose answer has been recorded, by this life: nobody else can write down one of its terms. */
+  private readonly closed = new Set<string>();
 
   constructor(
     private readonly around: FleetAround,
@@ -117,6 +122,8 @@
       await paid(this.around);
       // Waiting for our turn may have taken longer than we may lead: whoever does now repeats the name.
       if (!leads(this.around, part)) return;
+      // Its record came late, in a copy of what was sent before, after the rental was over and its record gone.
+      if (this.closed.has(name)) return await this.close(part, name, hire, []);
       const hosts = await this.around.cloud.hire(name, hire, hire.count);
       const offer: Offer = { type: hire.type, zone: hire.zone, spot: hire.spot };
       if (hosts === null || hosts.length < hire.count) this.offers.refuse(offer);
@@ -138,7 +145,7 @@
   private async close(part: Part, name: string, hire: RentalRecord, hosts: string[]): Promise<void> {
     const key = keys.rental(name);
     const at = this.around.scope.clock.wall();
-    await this.around.committer.commit(
+    const outcome = await this.around.committer.commit(
       "rented",
       () => {
         const entry = this.around.mirror.get<RentalRecord>(key);
@@ -155,5 +162,7 @@
       },
       { turn: "soon" },
     );
+    if (outcome === "done") this.closed.add(name);
+    if (this.closed.size > MOST_CLOSED) this.closed.delete(this.closed.values().next().value as string);
   }
 }
--- /dev/null
+++ b/test/late-writes.test.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { loadPlan, playVirtual, type RehearsalPlan, type Spawned } from "@thorntrail/emulator/entry";
+import { drawnPlan } from "@thorntrail/emulator/drawn";
+import { seeded } from "@thorntrail/emulator/luck";
+import { NoReply } from "@thorntrail/protocol/errors";
+import type { Condition, Op, StateApi } from "@thorntrail/protocol/state";
+import { keys, type AllotmentRecord, type JobRecord, type SliceRecord } from "../src/ledger/records.js";
+import { momentOf } from "../src/rehearsal/moments.js";
+import { spawnController, type Rehearsed } from "../src/rehearsal/spawn.js";
+
+const base = await loadPlan("deploy/meetings.hcl");
+const keyOf = (op: Op): string => ("write" in op ? op.write : op.remove);
+/** Presence, jobs, owners and so on: the first two parts of a key. */
+const writerOf = (op: Op): string => `${"write" in op ? "write" : "remove"} ${keyOf(op).split("/").slice(0, 2).join("/")}`;
+
+const RENTAL_BEGUN = "write t/m";
+
+/** What a state service in trouble does to all transactions of all controllers, and what was seen of them. */
+class LateWrites {
+  readonly unconditional = new Set<string>();
+  /** Copies of transactions that had been applied, and were applied once more. */
+  readonly again: string[] = [];
+  readonly writers = new Set<string>();
+  late = 0;
+
+  constructor(
+    private readonly luck: () => number,
+    /** Of the transactions, those that get no answer and are carried out later; of the others, those of which a copy comes. */
+    private readonly share: { late: number; copied: number },
+    private readonly mostMs: number,
+  ) {}
+
+  around(asked: Spawned): StateApi {
+    const { state, clock } = asked;
+    const laterMs = (): number => 500 + this.luck() * this.mostMs;
+    return {
+      ...state,
+      txn: async (conditions: Condition[], apply: Op[], limitMs?: number) => {
+        const conditional = new Set(conditions.map(({ k }) => k));
+        for (const op of apply) {
+          this.writers.add(writerOf(op));
+          if (!conditional.has(keyOf(op))) this.unconditional.add(writerOf(op));
+        }
+        const carryOut = (): Promise<Awaited<ReturnType<StateApi["txn"]>> | null> => state.txn(conditions, apply).catch(() => null);
+        if (this.luck() < this.share.late) {
+          this.late++;
+          clock.after(laterMs(), () => void carryOut());
+          await new Promise<void>((resolve) => clock.after(limitMs ?? 2000, resolve));
+          throw new NoReply("unanswered", "held");
+        }
+        const answer = await state.txn(conditions, apply, limitMs);
+        if (answer.ok && this.luck() < this.share.copied)
+          clock.after(
+            laterMs(),
+            () => void carryOut().then((second) => second?.ok === true && this.again.push(apply.map(writerOf).join())),
+          );
+        return answer;
+      },
+    };
+  }
+}
+
+async function play(plan: RehearsalPlan, seed: number, trouble: LateWrites) {
+  let last: Rehearsed | undefined;
+  const spawn = (asked: Spawned): Rehearsed => (last = spawnController({ ...asked, state: trouble.around(asked) }));
+  const report = await playVirtual({ plan, seed, spawn, momentOf });
+  return { report, mirror: last!.mirror, settings: last!.settings };
+}
+
+test("transactions carried out late, in any order, and copies of those that were applied change nothing for anybody", async () => {
+  const writers = new Set<string>();
+  let late = 0;
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    const trouble = new LateWrites(seeded(seed), { late: 0.15, copied: 0.5 }, 20_000);
+    const plan = seed % 2 === 0 ? drawnPlan(base, seed) : { ...base, fault: [] };
+    const { report, mirror, settings } = await play(plan, seed, trouble);
+    assert.deepEqual([report.broken, report.trouble, report.jobs.unfinished], [[], [], []], `seed ${seed}`);
+    assert.deepEqual([...trouble.unconditional], [], "every write is conditional on the key that it changes");
+    // A rental's record goes with its last machine, so that a copy of its first writing finds no record once more.
+    assert.deepEqual(
+      trouble.again.filter((what) => what !== RENTAL_BEGUN),
+      [],
+      "a copy of what was applied finds its conditions gone",
+    );
+    for (const { name, cpus_max } of settings.platform.deployment.teams) {
+      const { cpus } = mirror.get<AllotmentRecord>(keys.allotment(name))!.v;
+      const sum = cpus.reduce<number>((all, one) => all + (one ?? 0), 0);
+      assert.equal(sum, cpus_max, `the parts' shares of ${name} are its limit`);
+      assert.ok(cpus.every((one) => one === null || one >= 0));
+    }
+    for (const [key, { v: job }] of mirror.rows<JobRecord>(keys.jobs)) {
+      const slices = mirror.slicesOf(job.spec.ref).map(([, { v }]: [string, { v: SliceRecord }]) => v);
+      let covered = job.hi;
+      for (const { lo, hi } of slices.sort((a, b) => a.lo - b.lo)) {
+        assert.equal(lo, covered, `${key}: slices are neither apart nor over one another`);
+        covered = hi;
+      }
+      assert.equal(covered, job.spec.tasks, `${key}: every task stands in one slice`);
+    }
+    for (const one of trouble.writers) writers.add(one);
+    late += trouble.late;
+  }
+  assert.ok(late > 150, `${late} were late`);
+  // A writer that is new has to be looked at, in docs/design/meetings.md, before it stands here.
+  const known = ["j", "l", "m", "n", "o", "q", "s", "x"].map((table) => `write t/${table}`).concat("remove t/m");
+  assert.deepEqual(
+    [...writers].filter((one) => !known.includes(one)),
+    [],
+  );
+  assert.ok(writers.size >= 7, [...writers].join());
+});
