Meetings of two troubles as scenarios and drawn; a start that may still come is made known and stopped

A direct start without an answer, of a task that should no longer run, kept its room and its team's limit until the machine's session was over, and could come after a cancellation's time. In the answer to a report the worker is now told to start and stop it: it knows the attempt, and what comes later does nothing. A machine that reports and does not hear gets no new work for two intervals; one that has never shown a new term for as long as a lease can possibly last is returned, if no more of the part are like it than hear. The bound of silence is shown to be sharp: four seconds more break the rule (test/meetings.test.ts).

--- a/src/fleet/returning.ts
+++ b/src/fleet/returning.ts
@@ -102,6 +102,9 @@
     if (few(part, tally.unfenced)) return true;
     // Returned by the former leader, who could not write it down any more, or taken.
     if (this.absent(part, machine)) return true;
+    // It has reported all the time and never shown our term: it does not hear us. What it may run is not more than those that do.
+    const { silentAfterMs, expiryMs } = settings.timing;
+    if (scope.clock.now() - part.since > silentAfterMs + expiryMs && tally.answered >= tally.unfenced) return true;
     return tally.unfenced === 1 && tally.answered - Number(machine.token >= part.term) >= LEAST_ANSWERS;
   }
 
--- a/src/parts/report-desk.ts
+++ b/src/parts/report-desk.ts
@@ -46,7 +46,14 @@
     const newer = this.take(part, machine, report, true);
     const orders: Order[] = [];
     if (newer && machine.up && machine.fenced) {
-      orders.push(...ordersFor(machine, "report", (task) => this.clearable(task), MAX_ORDERS));
+      orders.push(
+        ...ordersFor(machine, "report", {
+          now: this.led.now,
+          leaseMs: this.led.settings.timing.leaseMs,
+          clearable: (task) => this.clearable(task),
+          max: MAX_ORDERS,
+        }),
+      );
       for (const placement of machine.placements.values()) if (placement.state === null) placement.offeredSeq = report.seq;
     } else if (!machine.up) this.cameUp.record(part, machine);
     this.noteAnswer(machine, newer);
--- a/src/workers/dispatch.ts
+++ b/src/workers/dispatch.ts
@@ -33,7 +33,9 @@
     if (this.leader.parts.get(part.id) !== part) return;
     const fencing = !machine.fenced;
     if (!machine.up || now < machine.directUntil || (!fencing && machine.lost)) return;
-    const orders = fencing ? [] : ordersFor(machine, "direct", () => false, MAX_DIRECT);
+    const orders = fencing
+      ? []
+      : ordersFor(machine, "direct", { now, leaseMs: this.leader.settings.timing.leaseMs, clearable: () => false, max: MAX_DIRECT });
     if (!fencing && orders.length === 0) return;
     machine.directBusy = true;
     const caller = this.calls.of(fencing ? "worker.fence" : "worker.order");
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -234,25 +234,46 @@
     }
     // An order in an answer is executed before the next report or never; a direct
     // one without an answer may still come, so its attempt stays counted.
-    const settled = placement.direct === "none" && context.viaReport && report.seq > placement.offeredSeq;
+    const missed = context.viaReport && report.seq > placement.offeredSeq;
+    const settled = placement.direct === "none" && missed;
+    // It reports and does not hear: what went there now would wait until its session is over.
+    if (missed && placement.offeredSeq >= 0) machine.avoidUntil = Math.max(machine.avoidUntil, context.now + context.coolMs * 2);
     if (settled && (placement.stop !== null || placement.unit.ended)) gone(machine, key, placement, context.now, findings, "unseen");
   }
   return true;
 }
 
-/** Orders for one machine, most urgent first, at most `max`. */
-export function ordersFor(
-  machine: Machine,
-  channel: "report" | "direct",
-  clearable: (task: ReportedTask) => boolean,
-  max: number,
-): Order[] {
+/** What an order may depend on. */
+export interface OrderContext {
+  now: number;
+  leaseMs: number;
+  clearable: (task: ReportedTask) => boolean;
+  /** Orders at most. */
+  max: number;
+}
+
+/**
+ * A direct start without an answer may come as long as the session lasts, which for one that should no longer start
+ * may be after its user was told so, and keeps its room and its team's limit until then. Told both at once, in
+ * an answer to a report, the worker knows the attempt, and a start that comes later does nothing. Only while the
+ * order is young: where its job was cancelled meanwhile without our knowing, the time for that is not over (an
+ * answer is given at most a silence after the cancellation, and silence and lease together are within `cancel_s`).
+ */
+function settlesStart(placement: Placement, { now, leaseMs }: OrderContext): boolean {
+  return placement.direct === "unresolved" && now - placement.orderedAt < leaseMs;
+}
+
+/** Orders for one machine, most urgent first. */
+export function ordersFor(machine: Machine, channel: "report" | "direct", context: OrderContext): Order[] {
+  const { clearable, max } = context;
   const orders: Order[] = [];
   for (const placement of machine.placements.values()) {
     if (orders.length >= max) return orders;
     const piece = pieceName(placement.unit, placement.task);
     if (placement.stop !== null) {
-      if (placement.state !== null && !(placement.state === "saving" && placement.stop.graceS > 0)) {
+      if (channel === "report" && placement.state === null && settlesStart(placement, context)) {
+        orders.push({ verb: "start", piece, attempt: placement.attempt }, { verb: "stop", piece, attempt: placement.attempt, graceS: 0 });
+      } else if (placement.state !== null && !(placement.state === "saving" && placement.stop.graceS > 0)) {
         orders.push({ verb: "stop", piece, attempt: placement.attempt, graceS: placement.stop.graceS });
       }
     } else if (placement.state === null && !placement.unit.ended) {
--- /dev/null
+++ b/test/meetings.test.ts
@@ -0,0 +1,184 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { brokenRules } from "@thorntrail/emulator/checker";
+import fc from "fast-check";
+import { runPass } from "../src/queue/pass.js";
+import { spawnController } from "../src/rehearsal/spawn.js";
+import type { Report, ReportedTask } from "@thorntrail/protocol/worker";
+import { newFindings, ordersFor, takeReport, type ReportContext } from "../src/workers/reports.js";
+import { NOW, partOf, pass, queueUp, specOf } from "./world/parts.js";
+import { playScenario } from "./world/scenario.js";
+
+/**
+ * The meeting that broke most: the state service refuses the leader alone, others confirm cancellations, then the
+ * service is down for all for longer than a cancellation has, while workers keep reporting to the old leader.
+ */
+interface Meeting {
+  seed: number;
+  /** For how long the leader alone is refused; a presence lasts 9 s. */
+  refusedS: number;
+  /** From the first refusal to the outage for all. */
+  outAfterS: number;
+  outS: number;
+  /** When jobs are cancelled, in seconds after the refusal, and where. */
+  cancels: { afterS: number; at: "nest-1" | "nest-2" | "nest-0" }[];
+  /** Troubles of the leader, its heir and its machines meanwhile. */
+  beside: string[];
+}
+
+const REFUSED_AT = 40;
+const SHAPES = ["array of 4 cpus 8 for 400", "gang of 3 cpus 8 for 400 saves 15", "service of 3 cpus 4"];
+
+function textOf({ seed, refusedS, outAfterS, outS, cancels, beside }: Meeting): string {
+  const out = REFUSED_AT + outAfterS;
+  const jobs = cancels.map((_, i) => `run-${String(i + 1).padStart(6, "0")}`);
+  return [
+    `seed ${seed}`,
+    "given drift 0.0005",
+    "given team ops most-cpus 600",
+    "given type m cpus 16 boot 3 count 24",
+    ...jobs.map((ref, i) => `at 5 submit ${ref} ${SHAPES[i % SHAPES.length]} at-node nest-0`),
+    "at 5 submit run-000090 array of 4 cpus 4 for 120 at-node nest-0",
+    `at ${REFUSED_AT} refuse nest-0 for ${refusedS}`,
+    ...cancels.map(({ afterS, at }, i) => `at ${(REFUSED_AT + afterS).toFixed(3)} cancel ${jobs[i]} at ${at}`),
+    ...beside.map((what) => `at ${what}`),
+    `at ${out} outage state for ${outS}`,
+    `at ${out + outS + 200} expect run-000090 done`,
+  ].join("\n");
+}
+
+const seconds = (min: number, max: number): fc.Arbitrary<number> => fc.integer({ min: min * 10, max: max * 10 }).map((n) => n / 10);
+const besides = fc.oneof(
+  seconds(0, 12).map((s) => [`${REFUSED_AT + s} kill nest-1`, `${REFUSED_AT + s + 7} start nest-1`]),
+  seconds(0, 12).map((s) => [`${REFUSED_AT + s} kill nest-2`, `${REFUSED_AT + s + 0.3} start nest-2`]),
+  seconds(0, 20).map((s) => [`${REFUSED_AT + s} freeze nest-0 for ${3 + (s % 9)}`]),
+  seconds(0, 20).map((s) => [`${REFUSED_AT + s} freeze nest-1 for ${3 + (s % 9)}`]),
+  // Orders that are held up, and images that are still being fetched when the job is cancelled.
+  seconds(0, 15).map((s) => [
+    `${REFUSED_AT + s} delay nest-0 to workers by 12 for 10`,
+    `${REFUSED_AT + s} submit run-000091 array of 6 cpus 4 for 300 at-node nest-0`,
+  ]),
+  seconds(0, 10).map((s) => [`${REFUSED_AT + s} delay nest-1 to workers by 6 for 15`]),
+  seconds(0, 15).map((s) => [`${REFUSED_AT + s} deafen all for ${4 + (s % 7)}`]),
+  seconds(0, 15).map((s) => [`${REFUSED_AT + s} cut nest-0 from peers for 40`]),
+  seconds(0, 20).map((s) => [`${REFUSED_AT + s} cut hosts-of:run-000001 from nest-1 for 25`]),
+  seconds(0, 5).map((s) => [`${REFUSED_AT + s} delay nest-0 to state by 1.5 for 40`]),
+  seconds(0, 5).map((s) => [`${REFUSED_AT + s} repeat-reports 0.5 within 30 for 40`]),
+  seconds(0, 20).map((s) => [`${REFUSED_AT + s} late-transactions nest-1 3 by 8`]),
+);
+const meeting: fc.Arbitrary<Meeting> = fc.record({
+  seed: fc.integer({ min: 1, max: 10_000 }),
+  refusedS: fc.oneof(seconds(1, 9), seconds(20, 150)),
+  outAfterS: fc.oneof(seconds(0.5, 8), seconds(8, 40)),
+  // The lease of a machine that is answered last just before silence ends between them.
+  outS: fc.oneof(seconds(17, 19), seconds(44, 80)),
+  cancels: fc.array(fc.record({ afterS: seconds(0.1, 40), at: fc.constantFrom("nest-0", "nest-1", "nest-2") }), {
+    minLength: 3,
+    maxLength: 6,
+  }),
+  beside: fc.oneof(
+    fc.constant([]),
+    besides,
+    fc.tuple(besides, besides).map((two) => two.flat()),
+  ),
+}) as fc.Arbitrary<Meeting>;
+
+test("refused alone, cancelled elsewhere, then out for all: every task is gone in time", async () => {
+  const runs = Number(process.env["MEETINGS"] ?? 10);
+  await fc.assert(
+    fc.asyncProperty(meeting, async (one) => {
+      const text = textOf(one);
+      const { world, failures } = await playScenario(text);
+      assert.deepEqual([brokenRules(world.history, world.limits()), failures, world.errors], [[], [], []], text);
+    }),
+    { numRuns: runs, seed: Number(process.env["MEETINGS_SEED"] ?? 37) },
+  );
+});
+
+/** Cancelled at the very beginning of the refusal, nothing else amiss: the time there is, used to its end. */
+const plain: Meeting = {
+  seed: 5,
+  refusedS: 150,
+  outAfterS: 1.5,
+  outS: 70,
+  cancels: [0.02, 0.05, 0.1, 0.2, 0.3, 0.4].map((afterS) => ({ afterS, at: "nest-1" })),
+  beside: [],
+};
+
+test("the bound of silence is sharp: four seconds more of it, and tasks of cancelled jobs are there too long", async () => {
+  const later = (ms: number) =>
+    playScenario(textOf(plain), (asked) =>
+      spawnController(asked, undefined, (settings) => ({
+        ...settings,
+        timing: { ...settings.timing, silentAfterMs: settings.timing.silentAfterMs + ms },
+      })),
+    );
+  const held = await later(0);
+  assert.deepEqual(brokenRules(held.world.history, held.world.limits()), []);
+  const broken = await later(4000);
+  assert.match(brokenRules(broken.world.history, broken.world.limits())[0] ?? "none", /^ran_cancelled/);
+});
+
+const context: ReportContext = {
+  now: NOW,
+  viaReport: true,
+  unitOf: () => null,
+  strangerOf: () => {
+    throw new Error("nobody's");
+  },
+  leaseMs: 18_000,
+  coolMs: 2500,
+};
+const orders = { now: NOW, leaseMs: 18_000, clearable: () => false, max: 9 };
+
+/** A task placed on one machine by a direct start to which no answer came. */
+function startedUnheard() {
+  const { part } = partOf(1, { cpus: 16, gpus: 0, ram: 64 });
+  const unit = queueUp(part, specOf({ tasks: 1 }));
+  runPass(part, pass);
+  const machine = [...part.machines.values()][0]!;
+  const placement = [...unit.placed.values()][0]!;
+  placement.direct = "unresolved";
+  const piece = "run-000001/0";
+  const report = (seq: number, tasks: ReportedTask[]): Report => ({
+    host: machine.host,
+    addr: "x",
+    type: "m",
+    zone: "a",
+    spot: false,
+    session: 1,
+    seq,
+    token: part.term,
+    noticeS: null,
+    tasks,
+  });
+  const hear = (seq: number, tasks: ReportedTask[] = []): void =>
+    void takeReport(part, machine, report(seq, tasks), { ...context, unitOf: () => ({ unit, task: 0 }) }, newFindings());
+  return { part, unit, machine, placement, piece, hear };
+}
+
+test("a start that may still come, of a task that should no longer run, is made known and stopped, and its room is free again", () => {
+  const { machine, placement, piece, hear, unit } = startedUnheard();
+  placement.stop = { graceS: 0 };
+  const { attempt } = placement;
+  assert.deepEqual(ordersFor(machine, "report", orders), [
+    { verb: "start", piece, attempt },
+    { verb: "stop", piece, attempt, graceS: 0 },
+  ]);
+  // Not directly, which could be held up as well; nor once a cancellation of the job may be older than allowed.
+  assert.deepEqual(ordersFor(machine, "direct", orders), []);
+  assert.deepEqual(ordersFor(machine, "report", { ...orders, now: placement.orderedAt + 18_000 }), []);
+  hear(2);
+  assert.equal(machine.placements.size, 1, "not listed proves nothing: the direct start may still come");
+  hear(3, [{ piece, attempt, state: "exited", cause: "stopped", saved: false }]);
+  assert.deepEqual([machine.placements.size, machine.used.cpus, unit.waiting.length], [0, 0, 1]);
+});
+
+test("a machine that reports and does not hear gets no new work for a while", () => {
+  const { machine, placement, hear } = startedUnheard();
+  hear(2);
+  assert.equal(machine.avoidUntil, -Infinity, "it was told nothing yet");
+  placement.offeredSeq = 2;
+  hear(3);
+  assert.ok(machine.avoidUntil > NOW);
+});
