What is no report, no request or no readable answer is ignored and named in the log

A relayed request of a kind this version does not know was carried out as a cancellation; one that is not JSON left a rejection behind. Reports that are refused are named, at most one line a report interval.

--- a/src/intake/relay.ts
+++ b/src/intake/relay.ts
@@ -4,7 +4,8 @@
 import type { Settings } from "../settings/derived.js";
 import type { Jobs, Response } from "./jobs.js";
 
-export type RequestKind = "submit" | "poll" | "cancel";
+const KINDS = ["submit", "poll", "cancel"] as const;
+export type RequestKind = (typeof KINDS)[number];
 
 interface Waiting {
   from: string;
@@ -17,6 +18,15 @@
 const PATIENCE = 1 / 2;
 const MAX_WAITING = 500;
 
+/** Undefined: not JSON. */
+function decode(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
 /**
  * Users stay connected to a node that has lost the state service alone, for
  * seconds until the load balancer notices. Such a node passes their requests to
@@ -46,8 +56,10 @@
         const { id, status, body, retryAfterS } = message.Relayed;
         const waiting = this.waiting.get(id);
         if (waiting === undefined || waiting.from !== from) return;
+        const said = decode(body);
+        if (said === null || typeof said !== "object") return this.refuse(from, "an answer that is not an object");
         this.stats.answered++;
-        this.settle(id, { status, body: JSON.parse(body) as Record<string, unknown>, ...(retryAfterS > 0 ? { retryAfterS } : {}) });
+        this.settle(id, { status, body: said as Record<string, unknown>, ...(retryAfterS > 0 ? { retryAfterS } : {}) });
       }
     });
   }
@@ -69,9 +81,19 @@
     return this.settings.timing.stateTimeoutMs * PATIENCE;
   }
 
+  /** Nothing is done about it: whoever asked asks somebody else when its time is over. */
+  private refuse(from: string, what: string): void {
+    this.scope.log.warn({ peer: from, what }, "relayed request or answer ignored");
+  }
+
   private async serve(from: string, ask: { id: number; kind: string; body: string }): Promise<void> {
+    const kind = KINDS.find((one) => one === ask.kind);
+    const body = decode(ask.body);
+    // A later version may ask for what this one does not know: that is never a cancellation.
+    if (kind === undefined || body === undefined)
+      return this.refuse(from, kind === undefined ? `kind ${ask.kind.slice(0, 40)}` : "not JSON");
     this.stats.served++;
-    const answer = await this.local(ask.kind as RequestKind, JSON.parse(ask.body), this.patienceMs());
+    const answer = await this.local(kind, body, this.patienceMs());
     this.peers.send(from, {
       Relayed: { id: ask.id, status: answer.status, body: JSON.stringify(answer.body), retryAfterS: answer.retryAfterS ?? 0 },
     });
--- a/src/ledger/mirror.ts
+++ b/src/ledger/mirror.ts
@@ -57,7 +57,9 @@
           if (!this.loaded) await this.load();
           else await this.read(this.pace.blockMs);
         } catch (error) {
-          scope.log.debug({ err: (error as Error).message }, "mirror read failed");
+          const line = { err: (error as Error).message };
+          if (error instanceof NoReply) scope.log.debug(line, "mirror read failed");
+          else scope.log.warn(line, "the state service's answer could not be read");
           await this.calls.rest();
         }
       },
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -68,9 +68,19 @@
     metrics: () => metrics.text(),
   };
   const app = later(async () => (await import("./intake/app.js")).buildApp(door));
+  let refusals = 0;
+  let refusedAt = -Infinity;
   const reports: ReportDoor = {
     onReport: (report) => controller.leader.onReport(report),
     count: (status) => metrics.countAnswer(status),
+    refused: (why, begins) => {
+      // Workers of an unknown version report every few seconds, each of them: one line an interval says enough.
+      const now = scope.clock.now();
+      refusals++;
+      if (now - refusedAt < timing.reportMs) return;
+      refusedAt = now;
+      log.warn({ why, begins, refusals }, "not a report");
+    },
     costs: scope.costs,
   };
   const others = createHttpServer((req, res) => {
--- a/src/workers/report-endpoint.ts
+++ b/src/workers/report-endpoint.ts
@@ -3,11 +3,15 @@
 import { type ReportAnswer, decodeReport, encodeOrders, type Report } from "@thorntrail/protocol/worker";
 
 export const REPORT_PATH = "/v1/report";
+/** Of a body that is refused, what the log shows. */
+const SHOWN = 120;
 export const MAX_REPORT = 64 * 1024;
 
 export interface ReportDoor {
   onReport: (report: Report) => ReportAnswer;
   count: (status: number) => void;
+  /** A body that is no report, and how it begins. */
+  refused: (why: string, begins: string) => void;
   costs: Costs;
 }
 
@@ -25,14 +29,18 @@
 /** What a body that was posted to the report path is answered, whichever way it came. */
 export function answerReport(door: ReportDoor, body: Buffer): Reply {
   return door.costs.spend("report", () => {
+    const refuse = (error: string): Reply => {
+      door.refused(error, body.toString("utf8", 0, SHOWN));
+      return reply(400, { error });
+    };
     let raw: unknown;
     try {
       raw = JSON.parse(body.toString("utf8"));
     } catch {
-      return reply(400, { error: "not JSON" });
+      return refuse("not JSON");
     }
     const report = decodeReport(raw);
-    if (report === null) return reply(400, { error: "not a report" });
+    if (report === null) return refuse("not a report");
     const said = door.onReport(report);
     if (said.kind === "silent") return { ...reply(503, { error: "not entitled to lead" }), retryAfterS: 1 };
     if (said.kind === "elsewhere") return reply(421, said.boss === null ? {} : { boss: said.boss });
--- a/test/report-endpoint.test.ts
+++ b/test/report-endpoint.test.ts
@@ -9,10 +9,12 @@
 
 test("reports are answered at once, malformed and oversized ones too", async () => {
   const seen: string[] = [];
+  const refused: string[] = [];
   const server = createServer((req, res) =>
     serveReport(
       {
         count: () => undefined,
+        refused: (why, begins) => void refused.push(`${why}: ${begins}`),
         costs: new Costs(),
         onReport: ({ host }) => {
           seen.push(host);
@@ -44,6 +46,7 @@
       assert.equal((await post(bad)).status, 400, bad);
     }
     assert.equal((await post(JSON.stringify({ ...report, more: "x".repeat(70_000) }))).status, 400);
+    assert.deepEqual([refused.length, refused[1], refused[6]!.slice(0, 12)], [7, "not JSON: {", "not a report"]);
     assert.deepEqual(seen, ["i-1", "i-2", "i-3"]);
   } finally {
     server.close();
--- a/test/report-lane.test.ts
+++ b/test/report-lane.test.ts
@@ -40,6 +40,7 @@
   const byHttp: string[] = [];
   const door: ReportDoor = {
     costs: new Costs(),
+    refused: () => undefined,
     count: () => undefined,
     onReport: ({ host }) => {
       seen.push(host);
--- a/test/returns.test.ts
+++ b/test/returns.test.ts
@@ -212,6 +212,23 @@
   assert.deepEqual((await answer).body, { ref: "run-000002", status: "done" });
 });
 
+test("what a peer relays that is no request, or of a kind that is not known, is ignored and named: it cancels nothing", async () => {
+  const incoming$ = new Subject<{ from: string; message: Message }>();
+  const done: string[] = [];
+  const named: unknown[] = [];
+  const jobs = { poll: async () => (done.push("poll"), { status: 200, body: {} }), cancel: async () => done.push("cancel") };
+  const log = { warn: (line: { what: string }) => void named.push(line.what) } as unknown as Log;
+  const scope = new Scope(Object.assign(new VirtualClock(), { stood$: NEVER }), log);
+  const settings = { timing: { stateTimeoutMs: 2000 } } as Settings;
+  new Relay(settings, jobs as unknown as Jobs, { incoming$, send: () => true }, () => [], scope, "l").start();
+  const asked = (kind: string, body: string): void => incoming$.next({ from: "nest-1", message: { Relay: { id: 1, kind, body } } });
+  asked("drain", '"run-000001"');
+  asked("poll", "{");
+  asked("poll", '"run-000001"');
+  await Promise.resolve();
+  assert.deepEqual([done, named], [["poll"], ["kind drain", "not JSON"]]);
+});
+
 test("a node that is asked for a word of its own again and again keeps its key all the same", async () => {
   // What is guarded against: words written under a permit that seemed extended each time, and never was.
   const world = new World(plainPlan(), spawnController);
