An answer to a machine that has not shown the new term stops what must end there

Cause: such an answer renews the machine's lease, and carried no orders, since nothing may be started before the term is shown. Where the direct commands are lost and nothing more is heard after that one answer, tasks of cancelled jobs ran on for another lease, past cancel_s. Stops are harmless under any term, so every answer carries them now, those to old news too.

test/world/lease-model.ts: one machine between a leader without proof and its heir, every way explored with the very code that takes reports, notes answers and counts leases; five wrong variants are found, the two mended ones among them.

--- a/src/parts/report-desk.ts
+++ b/src/parts/report-desk.ts
@@ -6,7 +6,7 @@
 import { Bits } from "../platform/bits.js";
 import { newUnit, type Unit } from "../queue/unit.js";
 import type { Machine } from "../workers/machine.js";
-import { newFindings, ordersFor, takeReport, type ReportContext } from "../workers/reports.js";
+import { newFindings, noteAnswer, ordersFor, takeReport, type ReportContext } from "../workers/reports.js";
 import type { CameUp } from "./came-up.js";
 import type { Consequences } from "./consequences.js";
 import type { Led } from "./led.js";
@@ -44,31 +44,23 @@
     const machine = part.machines.get(report.host);
     if (machine === undefined || machine.deleting) return { kind: "silent" };
     const newer = this.take(part, machine, report, true);
-    const orders: Order[] = [];
-    if (newer && machine.up && machine.fenced) {
-      orders.push(
-        ...ordersFor(machine, "report", {
-          now: this.led.now,
-          leaseMs: this.led.settings.timing.leaseMs,
-          clearable: (task) => this.clearable(task),
-          max: MAX_ORDERS,
-        }),
-      );
-      for (const placement of machine.placements.values()) if (placement.state === null) placement.offeredSeq = report.seq;
-    } else if (!machine.up) this.cameUp.record(part, machine);
-    this.noteAnswer(machine, newer);
-    return { kind: "orders", token: part.term, orders };
+    if (!machine.up) this.cameUp.record(part, machine);
+    const orders = machine.up ? this.orders(machine) : [];
+    const free = newer && machine.fenced;
+    if (free) for (const placement of machine.placements.values()) if (placement.state === null) placement.offeredSeq = report.seq;
+    noteAnswer(machine, newer, this.led.now);
+    // Every answer renews the lease, so each says what must end: a machine that hears nothing more would otherwise run
+    // tasks of cancelled jobs for another lease. Nothing else is ordered before the machine has shown our term, nor by old news.
+    return { kind: "orders", token: part.term, orders: free ? orders : orders.filter(({ verb }) => verb === "stop") };
   }
 
-  /**
-   * Until when the machine's lease may have been renewed. An answer to what is no news renews nothing: a lease
-   * counts from when a report was sent, and that one was sent before the newest that came. A machine that has
-   * not shown our term may not hear us and go on under the former leader, whose last answer may come long
-   * after ours: its time is never cut short by hearing from it.
-   */
-  private noteAnswer(machine: Machine, newer: boolean): void {
-    const sentBy = newer ? this.led.now : machine.heardAt;
-    machine.answeredAt = machine.fenced && newer ? sentBy : Math.max(machine.answeredAt, sentBy);
+  private orders(machine: Machine): Order[] {
+    return ordersFor(machine, "report", {
+      now: this.led.now,
+      leaseMs: this.led.settings.timing.leaseMs,
+      clearable: (task) => this.clearable(task),
+      max: MAX_ORDERS,
+    });
   }
 
   private clearable(task: ReportedTask): boolean {
--- a/src/parts/watch.ts
+++ b/src/parts/watch.ts
@@ -1,5 +1,5 @@
 import type { Machine } from "../workers/machine.js";
-import { dropAll, newFindings } from "../workers/reports.js";
+import { dropAll, leaseOver, newFindings } from "../workers/reports.js";
 import type { Consequences } from "./consequences.js";
 import type { Led } from "./led.js";
 import type { Part } from "./part.js";
@@ -22,7 +22,7 @@
     const { expiryMs } = this.led.settings.timing;
     for (const part of this.led.parts.values()) {
       for (const machine of part.machines.values()) {
-        if (!machine.lost && machine.up && this.led.now > machine.answeredAt + expiryMs) {
+        if (!machine.lost && leaseOver(machine, this.led.now, expiryMs)) {
           // Nobody answered it validly for longer than its lease: its tasks are gone.
           machine.lost = true;
           machine.fenced = true;
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -1,11 +1,17 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { brokenRules } from "@thorntrail/emulator/checker";
+import { loadPlan, playVirtual } from "@thorntrail/emulator/entry";
+import { decodeFault, type Fault } from "@thorntrail/emulator/faults";
+import { NoReply } from "@thorntrail/protocol/errors";
 import fc from "fast-check";
+import { keys, type JobRecord } from "../src/ledger/records.js";
+import { momentOf } from "../src/rehearsal/moments.js";
 import { runPass } from "../src/queue/pass.js";
 import { spawnController } from "../src/rehearsal/spawn.js";
 import type { Report, ReportedTask } from "@thorntrail/protocol/worker";
 import { newFindings, ordersFor, takeReport, type ReportContext } from "../src/workers/reports.js";
+import { exploreLeases, type Wrong } from "./world/lease-model.js";
 import { NOW, partOf, pass, queueUp, specOf } from "./world/parts.js";
 import { playScenario } from "./world/scenario.js";
 
@@ -182,3 +188,59 @@
   hear(3);
   assert.ok(machine.avoidUntil > NOW);
 });
+
+const base = await loadPlan("deploy/meetings.hcl");
+
+test("no answer renews the lease of a machine without stopping what it runs of a job that is known to be over", async () => {
+  // What is guarded against: an answer to a machine that has not shown the new term yet gave it another lease and no
+  // orders; if it heard nothing more, tasks of cancelled jobs ran on until that was over.
+  let renewed = 0;
+  for (const seed of [11, 12, 13, 14, 15, 16]) {
+    const spawn: typeof spawnController = (asked) => {
+      // Direct commands never arrive, the new term among them: it is shown by answers to reports alone.
+      const command = async (): Promise<never> => {
+        await new Promise<void>((resolve) => asked.clock.after(2000, resolve));
+        throw new NoReply("unanswered", "lost");
+      };
+      const controller = spawnController(seed % 2 === 0 ? asked : { ...asked, workers: { command } });
+      const { onReport } = controller;
+      controller.onReport = (report) => {
+        const answer = onReport(report);
+        if (answer.kind !== "orders") return answer;
+        const stopped = new Set(answer.orders.filter(({ verb }) => verb === "stop").map(({ piece }) => piece));
+        for (const { piece, state } of report.tasks) {
+          const end = controller.mirror.get<JobRecord>(keys.job(piece.slice(0, piece.lastIndexOf("/"))))?.v.end;
+          if (state === "exited" || end !== "withdrawn") continue;
+          renewed++;
+          assert.ok(stopped.has(piece), `${piece} on ${report.host} at ${asked.clock.now()}`);
+        }
+        return answer;
+      };
+      return controller;
+    };
+    const plan = { ...base, fault: Array.from({ length: 6 }, (_, i) => ({ at: 15 + i * 13, fault: restart(i) })) };
+    const report = await playVirtual({ plan, seed, spawn, momentOf });
+    assert.deepEqual(report.broken, []);
+  }
+  assert.ok(renewed > 20, `${renewed} answers`);
+});
+
+function restart(i: number): Fault {
+  const decoded = decodeFault({ kind: "restart", target: i % 2 === 0 ? "leader" : "all", for: i % 3 === 0 ? 12 : 0.2 });
+  if ("wrong" in decoded) throw new Error(decoded.wrong);
+  return decoded.fault;
+}
+
+test("a machine between a leader without proof and its heir: every way explored, and each wrong variant is found", () => {
+  const { states, broken } = exploreLeases();
+  assert.equal(broken, null);
+  assert.ok(states > 2000, `${states} states`);
+  for (const [wrong, what] of [
+    [{ answerCutsShort: true }, /elsewhere/],
+    [{ noSilence: true }, /elsewhere/],
+    [{ oldIsNews: true }, /elsewhere|still there/],
+    [{ silentLate: true }, /elsewhere|still there/],
+    [{ answerStopsNothing: true }, /still there/],
+  ] as [Wrong, RegExp][])
+    assert.match(exploreLeases(wrong).broken ?? "nothing", what, JSON.stringify(wrong));
+});
