An array that has waited for six leases begins, whatever its size, with one task

Now such an array begins with a single task after six leases, before all else of its priority, and the rest keeps its turn.

--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -72,7 +72,11 @@
     const { spec } = unit;
     const used = usage.get(spec.team) ?? { cpus: 0, gpus: 0 };
     const allotment = context.allotment(spec.team);
-    let left = Math.min(unit.waiting.length, tasksWithin(spec, { cpus: allotment.cpus - used.cpus, gpus: allotment.gpus - used.gpus }));
+    let left = Math.min(
+      unit.waiting.length,
+      context.order.atOnce(unit),
+      tasksWithin(spec, { cpus: allotment.cpus - used.cpus, gpus: allotment.gpus - used.gpus }),
+    );
     const isGang = spec.kind === "gang";
     if (left === 0 || (isGang && left < unit.waiting.length)) continue;
     // A job that fails wherever it runs is not worth more machines.
--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -16,6 +16,9 @@
 /** Leases by which a job may be put back for its size, at most: half an hour where they are usual. */
 const YIELD_LEASES = 100;
 
+/** Leases after which an array begins, whatever its size: two minutes where they are usual, half of what users wait for. */
+const BEGIN_LEASES = 6;
+
 /** Aims are the same for all jobs of a class, of which a queue has hundreds. */
 function once(read: (klass: string) => number): (klass: string) => number {
   const known = new Map<string, number>();
@@ -67,6 +70,7 @@
       startS: once((klass) => aimS(platform, "wait", klass)),
       expectS: (unit) => this.led.history.expectS(unit.spec),
       yieldS: (this.led.settings.timing.leaseMs / 1000) * YIELD_LEASES,
+      beginS: (this.led.settings.timing.leaseMs / 1000) * BEGIN_LEASES,
       guaranteed: (unit) => first.job(unit.spec),
       owed: ({ spec }) => behind.has(spec.klass) || first.team(spec),
     });
--- a/src/queue/order.ts
+++ b/src/queue/order.ts
@@ -17,6 +17,8 @@
   rank: (unit: Unit) => number;
   /** When the job counts as having come, in ms. */
   arrival: (unit: Unit) => number;
+  /** How many of its tasks may start in its turn: of one that comes first only to begin, a single one. */
+  atOnce: (unit: Unit) => number;
 }
 
 export interface OrderContext {
@@ -29,6 +31,8 @@
   expectS: (unit: Unit) => number;
   /** What a job of a class without an aim for its end is put back for its size, at most, in seconds. */
   yieldS: number;
+  /** An array that has waited for so long, in seconds, without any of its tasks begun, begins. */
+  beginS: number;
   /** Within its team's guarantee, and has seconds to start for that: such work need not wait for other teams. */
   guaranteed: (unit: Unit) => boolean;
   /** Of a team that runs less than its guarantee, or of a class served least: it comes before others', in its own order. */
@@ -41,6 +45,15 @@
 /** Longer than anything waits: what is guaranteed comes before the rest of its priority. */
 const AGES_MS = 1e9;
 
+/**
+ * What is put back for its size may wait behind all that is smaller for longer than a user's day. So it begins
+ * after a while, with one task, which takes next to nothing from the others; the rest keeps its turn.
+ */
+function beginsNow(unit: Unit, { mode, nowWall, beginS }: OrderContext): boolean {
+  const begun = unit.started || unit.done.count > 0 || unit.lo > 0;
+  return mode === "aims" && unit.spec.kind === "array" && !begun && nowWall - unit.submittedWall > beginS * 1000;
+}
+
 /** Tasks that may be expected to run at the same time; a wider gang takes as much as several. */
 const USUAL_WIDTH = 4;
 
@@ -63,7 +76,9 @@
   return {
     // What only others need in a hurry must not crowd out what is urgent itself.
     rank: (unit) => (context.mode === "arrival" ? 0 : rank(unit.urgency) + (lifted(unit) ? LIFTED : 0)),
+    atOnce: (unit) => (beginsNow(unit, context) ? 1 : Infinity),
     arrival: (unit) => {
+      if (beginsNow(unit, context)) return unit.submittedWall - 2 * AGES_MS;
       if (context.mode !== "arrival" && context.guaranteed(unit)) return unit.submittedWall - AGES_MS;
       const first = context.mode !== "arrival" && context.owed(unit) ? AGES_MS : 0;
       if (context.mode !== "aims") return unit.submittedWall - first;
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -111,7 +111,7 @@
     const used = usage.get(spec.team) ?? { cpus: 0, gpus: 0 };
     const allotment = context.allotment(spec.team);
     const room = tasksWithin(spec, { cpus: allotment.cpus - used.cpus, gpus: allotment.gpus - used.gpus });
-    const wanted = mayStart(unit);
+    const wanted = Math.min(mayStart(unit), context.order.atOnce(unit));
     const within = Math.min(wanted, room);
     if (within < wanted) {
       const entry = result.short.get(spec.team) ?? { cpus: 0, gpus: 0, now: { cpus: 0, gpus: 0 } };
--- a/src/queue/preempt.ts
+++ b/src/queue/preempt.ts
@@ -185,7 +185,7 @@
     const allotment = context.allotment(spec.team);
     const room = tasksWithin(spec, { cpus: allotment.cpus - used.cpus, gpus: allotment.gpus - used.gpus });
     const isGang = spec.kind === "gang";
-    const wanted = Math.min(unit.waiting.length, room);
+    const wanted = Math.min(unit.waiting.length, room, context.order.atOnce(unit));
     // Room is only taken during a pass: what did not fit one job does not fit its like.
     const claims = context.guaranteed(unit) && now - unit.arrivedAt >= context.claimAfterMs;
     const shape = `${unit.urgency}|${claims ? spec.team : ""}|${unit.shape}`;
--- a/test/guarantees.test.ts
+++ b/test/guarantees.test.ts
@@ -102,6 +102,7 @@
     startS: () => Infinity,
     expectS: () => 60,
     yieldS: 1800,
+    beginS: 108,
     guaranteed: () => false,
     owed: ({ spec }) => spec.team === "ops",
   });
--- a/test/served.test.ts
+++ b/test/served.test.ts
@@ -21,6 +21,7 @@
     startS: () => Infinity,
     expectS: () => RUN_S,
     yieldS: YIELD_S,
+    beginS: Infinity,
     guaranteed: () => false,
     owed: () => false,
     ...change,
@@ -28,7 +29,7 @@
 }
 
 /** Everything that runs ends; what it leaves is given out anew. Jobs that are over leave the queue. */
-function turn(part: Part, nowS: number, mode: OrderMode, finished: Set<string>): void {
+function turn(part: Part, nowS: number, mode: OrderMode, finished: Set<string>, change: Partial<OrderContext> = {}): void {
   for (const machine of part.machines.values()) {
     for (const [key, placement] of [...machine.placements]) {
       letGo(machine, key);
@@ -41,7 +42,7 @@
     finished.add(unit.spec.ref);
     part.units.delete(unit.key);
   }
-  runPass(part, { ...pass, order: orderAt(nowS, mode) });
+  runPass(part, { ...pass, order: orderAt(nowS, mode, change) });
 }
 
 /** Twice as much low work as there is room for; how many jobs are over in the end, by order. */
@@ -177,3 +178,30 @@
   for (const unit of [early, late]) unit.urgency = "urgent";
   assert.deepEqual(inOrder([early, late], orderAt(100)), [early, late]);
 });
+
+test("the largest arrays begin, each with one task, and the smaller ones lose next to nothing", () => {
+  // 60 small arrays and three of a hundred tasks for twice the room there is: put back for their size they never began.
+  const beganAt = (beginS: number): { largest: (number | undefined)[]; finished: number } => {
+    const { part } = partOf(4, { cpus: 8, gpus: 0, ram: 64 });
+    const finished = new Set<string>();
+    const large = [0, 1, 2].map((i) => queueUp(part, specOf({ ref: `run-00090${i}`, tasks: 100, cpus: 1, urgency: "low" })));
+    const began = new Map<Unit, number>();
+    for (let t = 0; t < 20; t++) {
+      for (let i = 0; i < 3; i++) {
+        const unit = queueUp(part, specOf({ ref: `run-${String(t * 3 + i).padStart(6, "0")}`, tasks: 20, cpus: 1, urgency: "low" }));
+        unit.submittedWall = t * RUN_S * 1000;
+      }
+      turn(part, t * RUN_S, "aims", finished, { beginS });
+      for (const unit of large) if (unit.started && !began.has(unit)) began.set(unit, t * RUN_S);
+    }
+    return { largest: large.map((unit) => began.get(unit)), finished: finished.size };
+  };
+  const before = beganAt(Infinity);
+  const after = beganAt(108);
+  assert.deepEqual(before.largest, [undefined, undefined, undefined]);
+  assert.ok(
+    after.largest.every((at) => at !== undefined && at <= 240),
+    after.largest.join(),
+  );
+  assert.ok(after.finished >= before.finished - 1, `${after.finished} of ${before.finished}`);
+});
--- a/test/world/parts.ts
+++ b/test/world/parts.ts
@@ -42,6 +42,7 @@
   startS: () => Infinity,
   expectS: () => 60,
   yieldS: 1800,
+  beginS: 108,
   guaranteed: () => false,
   owed: () => false,
 });
