Reverted: a machine that reports and does not hear gets no new work for two intervals

After this controller itself has stood still, its answers were too late for all its machines at once, and all of them counted as not hearing: the whole part placed nothing for two intervals. A machine that is deaf is given work as before, until its session is over; its test goes with it.

--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -234,10 +234,7 @@
     }
     // An order in an answer is executed before the next report or never; a direct
     // one without an answer may still come, so its attempt stays counted.
-    const missed = context.viaReport && report.seq > placement.offeredSeq;
-    const settled = placement.direct === "none" && missed;
-    // It reports and does not hear: what went there now would wait until its session is over.
-    if (missed && placement.offeredSeq >= 0) machine.avoidUntil = Math.max(machine.avoidUntil, context.now + context.coolMs * 2);
+    const settled = placement.direct === "none" && context.viaReport && report.seq > placement.offeredSeq;
     if (settled && (placement.stop !== null || placement.unit.ended)) gone(machine, key, placement, context.now, findings, "unseen");
   }
   return true;
