Checker: answers judged in real time, starts after a cancellation, wrong acceptances, idle room

An answer is now judged by when its question was asked. What was checked before, a 404 after an acceptance that came while the question was under way, was no broken rule: of two that overlap, either may be the older. In its place stands the exact form, for every kind of answer; events without an asking time are judged as before.

--- a/packages/emulator/src/checker.ts
+++ b/packages/emulator/src/checker.ts
@@ -2,13 +2,24 @@
 
 /** What happened, as seen from outside the controllers. */
 export type Happening =
-  | { at: number; kind: "submitted"; spec: JobSpec }
-  | { at: number; kind: "told"; ref: string; what: "accepted" | "queued" | "running" | "done" | "withdrawn" | "unknown" | "refused" }
+  /** `never`: why it must not be accepted. */
+  | { at: number; kind: "submitted"; spec: JobSpec; never?: string }
+  /** An answer that came at `at`; `asked`: when its question was sent, of a poll, a submission or a cancellation alike. */
+  | {
+      at: number;
+      kind: "told";
+      ref: string;
+      what: "accepted" | "queued" | "running" | "done" | "withdrawn" | "unknown" | "refused";
+      asked?: number;
+    }
   | { at: number; kind: "asked-cancel"; ref: string }
   /** A poll that was answered neither 200 nor 404. */
   | { at: number; kind: "unanswered"; ref: string }
   | { at: number; kind: "on"; piece: string; host: string; type: string; zone: string; spot: boolean }
-  | { at: number; kind: "off"; piece: string; host: string; cause: string };
+  | { at: number; kind: "off"; piece: string; host: string; cause: string }
+  /** A machine takes work from now on, or no more. */
+  | { at: number; kind: "up"; host: string; type: string; zone: string; spot: boolean; cpus: number; gpus: number; ram: number }
+  | { at: number; kind: "gone"; host: string };
 
 export interface Limits {
   cancelMs: number;
@@ -21,6 +32,9 @@
 
 /** After the troubles, a job about which no question is answered for so long is forgotten. */
 const FORGOTTEN_MS = 75_000;
+/** After the troubles, a job must not wait for so long beside room that it could have. */
+const IDLE_ROOM_MS = 90_000;
+const ROOM_LOOK_MS = 1000;
 
 const refOf = (piece: string): string => piece.slice(0, piece.lastIndexOf("/"));
 
@@ -28,8 +42,10 @@
 export function brokenRules(history: Happening[], limits: Limits): string[] {
   const broken: string[] = [];
   const specs = new Map<string, JobSpec>();
-  const accepted = new Set<string>();
-  const final = new Map<string, "done" | "withdrawn">();
+  /** When a user first knew of it. */
+  const accepted = new Map<string, number>();
+  const refusable = new Map<string, string>();
+  const final = new Map<string, { what: "done" | "withdrawn"; at: number }>();
   const withdrawnAt = new Map<string, number>();
   const askedCancel = new Set<string>();
   const on = new Map<string, Map<string, { zone: string }>>();
@@ -58,11 +74,24 @@
       }
     }
   };
+  const room = new RoomWatch(limits, (at, detail) => say("idle_room", at, detail));
+  const open = (): JobSpec[] => [...specs.values()].filter(({ ref }) => accepted.has(ref) && !final.has(ref) && !askedCancel.has(ref));
+  const waits = (spec: JobSpec): boolean =>
+    (doneTasks.get(spec.ref)?.size ?? 0) + onOf(spec.ref).length < spec.tasks &&
+    (spec.needs ?? []).every((need) => (doneTasks.get(need)?.size ?? 0) >= (specs.get(need)?.tasks ?? Infinity));
   for (const event of history) {
     checkCancelled(event.at);
+    room.look(event.at, () => open().filter(waits), on, specs);
     switch (event.kind) {
+      case "up":
+        room.machines.set(event.host, event);
+        break;
+      case "gone":
+        room.machines.delete(event.host);
+        break;
       case "submitted":
         specs.set(event.spec.ref, event.spec);
+        if (event.never !== undefined) refusable.set(event.spec.ref, event.never);
         break;
       case "asked-cancel":
         askedCancel.add(event.ref);
@@ -76,19 +105,23 @@
         break;
       }
       case "told": {
-        const { ref, what } = event;
+        // In real time: what had been answered when this was asked must not be unsaid; of two that overlap, either may be older.
+        const { ref, what, asked = event.at } = event;
         unansweredSince.delete(ref);
-        const last = final.get(ref);
+        const ended = final.get(ref);
+        const last = ended !== undefined && (ended.at <= asked || what === "done" || what === "withdrawn") ? ended.what : undefined;
+        const known = (accepted.get(ref) ?? Infinity) <= asked;
         if (what === "unknown") {
-          if (accepted.has(ref)) say("forgotten", event.at, `${ref} got 404`);
+          if (known) say("forgotten", event.at, `${ref} got 404`);
           break;
         }
         if (what === "refused") {
-          if (accepted.has(ref)) say("forgotten", event.at, `${ref} was refused when repeated`);
+          if (known) say("forgotten", event.at, `${ref} was refused when repeated`);
           break;
         }
         if (!specs.has(ref)) say("invented", event.at, ref);
-        accepted.add(ref);
+        if (refusable.has(ref)) say("accepted_wrongly", event.at, `${ref}: ${refusable.get(ref)}`);
+        if (!accepted.has(ref)) accepted.set(ref, event.at);
         if (what === "done" && (doneTasks.get(ref)?.size ?? 0) < (specs.get(ref)?.tasks ?? 0)) say("not_done", event.at, ref);
         if (last !== undefined && what !== last) say("went_back", event.at, `${ref} from ${last} to ${what}`);
         const gone = [...allNeeds(ref)].map((need) => withdrawnAt.get(need) ?? Infinity);
@@ -96,7 +129,7 @@
         if (what === "withdrawn" && ![ref, ...allNeeds(ref)].some((one) => askedCancel.has(one)))
           say("went_back", event.at, `${ref} was not cancelled by its user`);
         if (what === "done" || what === "withdrawn") {
-          final.set(ref, what);
+          if (ended === undefined) final.set(ref, { what, at: event.at });
           if (what === "withdrawn" && !withdrawnAt.has(ref)) withdrawnAt.set(ref, event.at);
         }
         break;
@@ -121,6 +154,7 @@
         }
         hosts.set(event.host, { zone: event.zone });
         on.set(event.piece, hosts);
+        room.served(ref);
         for (const need of spec?.needs ?? []) {
           if ((doneTasks.get(need)?.size ?? 0) < (specs.get(need)?.tasks ?? 1))
             say("too_early", event.at, `${event.piece} before ${need} is done`);
@@ -157,7 +191,115 @@
       }
     }
   }
-  if (limits.until !== undefined) checkCancelled(limits.until);
+  if (limits.until !== undefined) {
+    checkCancelled(limits.until);
+    room.look(limits.until, () => open().filter(waits), on, specs);
+  }
   if (started === 0) broken.push("nothing_ran");
   return broken;
 }
+
+/** How many starts came after a user had been told that the job is cancelled; a rule is broken only past `cancelMs`. */
+export function startsAfterCancellation(history: readonly Happening[]): number {
+  const told = new Set<string>();
+  let count = 0;
+  for (const event of history) {
+    if (event.kind === "told" && event.what === "withdrawn") told.add(event.ref);
+    else if (event.kind === "on" && told.has(refOf(event.piece))) count++;
+  }
+  return count;
+}
+
+type Machine = Extract<Happening, { kind: "up" }>;
+
+/** Looks, once the troubles are over, for jobs that wait though a machine has had room for a task of theirs all the while. */
+class RoomWatch {
+  readonly machines = new Map<string, Machine>();
+  private readonly since = new Map<string, number>();
+  private nextLook: number;
+
+  constructor(
+    private readonly limits: Limits,
+    private readonly say: (at: number, detail: string) => void,
+  ) {
+    this.nextLook = limits.calmAt ?? Infinity;
+  }
+
+  /** A task of it has begun: its wait counts anew. */
+  served(ref: string): void {
+    this.since.delete(ref);
+  }
+
+  look(at: number, waiting: () => JobSpec[], on: Map<string, Map<string, { zone: string }>>, specs: Map<string, JobSpec>): void {
+    for (; this.nextLook <= at; this.nextLook += ROOM_LOOK_MS) {
+      const free = this.free(on, specs);
+      const jobs = waiting();
+      const names = new Set(jobs.map(({ ref }) => ref));
+      for (const ref of this.since.keys()) if (!names.has(ref)) this.since.delete(ref);
+      for (const spec of jobs) {
+        if (!this.could(spec, free, on, specs)) this.since.delete(spec.ref);
+        else if (!this.since.has(spec.ref)) this.since.set(spec.ref, this.nextLook);
+        else if (this.nextLook - this.since.get(spec.ref)! >= IDLE_ROOM_MS) {
+          this.say(this.nextLook, `${spec.ref} waits though there is room`);
+          this.since.set(spec.ref, Infinity);
+        }
+      }
+    }
+  }
+
+  private free(on: Map<string, Map<string, { zone: string }>>, specs: Map<string, JobSpec>): Machine[] {
+    const free = new Map([...this.machines].map(([host, machine]) => [host, { ...machine }]));
+    for (const [piece, hosts] of on) {
+      const spec = specs.get(refOf(piece));
+      if (spec === undefined) continue;
+      for (const host of hosts.keys()) {
+        const machine = free.get(host);
+        if (machine === undefined) continue;
+        machine.cpus -= spec.cpus;
+        machine.gpus -= spec.gpus;
+        machine.ram -= spec.ram;
+      }
+    }
+    return [...free.values()];
+  }
+
+  /** One more task, or of a gang all of them, would fit into what is free and under the team's limit. */
+  private could(spec: JobSpec, free: Machine[], on: Map<string, Map<string, { zone: string }>>, specs: Map<string, JobSpec>): boolean {
+    const present = [...on].filter(([piece]) => refOf(piece) === spec.ref).flatMap(([, hosts]) => [...hosts.values()]);
+    const wanted = spec.kind === "gang" ? spec.tasks - present.length : 1;
+    const limit = this.limits.teams.get(spec.team);
+    const used = { cpus: 0, gpus: 0 };
+    for (const [piece, hosts] of on) {
+      const other = specs.get(refOf(piece));
+      if (other?.team !== spec.team) continue;
+      used.cpus += other.cpus * hosts.size;
+      used.gpus += other.gpus * hosts.size;
+    }
+    if (limit !== undefined && limit.cpus > 0 && used.cpus + wanted * spec.cpus > limit.cpus + 1e-6) return false;
+    if (limit !== undefined && limit.gpus > 0 && used.gpus + wanted * spec.gpus > limit.gpus + 1e-6) return false;
+    const zones = spec.oneZone ? [...new Set(free.map(({ zone }) => zone))] : [null];
+    return zones.some((only) => {
+      if (only !== null && present.some(({ zone }) => zone !== only)) return false;
+      const inZone = new Map<string, number>();
+      for (const { zone } of present) inZone.set(zone, (inZone.get(zone) ?? 0) + 1);
+      let places = 0;
+      for (const machine of free) {
+        if (only !== null && machine.zone !== only) continue;
+        if ((spec.types !== null && !spec.types.includes(machine.type)) || (spec.zone !== null && spec.zone !== machine.zone)) continue;
+        if (!spec.spot && machine.spot) continue;
+        const most = spec.spread ? Math.ceil(spec.tasks / 2) - (inZone.get(machine.zone) ?? 0) : Infinity;
+        const fit = Math.floor(
+          Math.min(
+            machine.cpus / spec.cpus + 1e-9,
+            spec.gpus > 0 ? machine.gpus / spec.gpus + 1e-9 : Infinity,
+            spec.ram > 0 ? machine.ram / spec.ram + 1e-9 : Infinity,
+            most,
+          ),
+        );
+        places += Math.max(0, fit);
+        inZone.set(machine.zone, (inZone.get(machine.zone) ?? 0) + Math.max(0, fit));
+      }
+      return places >= wanted;
+    });
+  }
+}
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { JobSpec } from "@thorntrail/protocol/jobs";
-import { brokenRules, type Happening, type Limits } from "@thorntrail/emulator/checker";
+import { brokenRules, startsAfterCancellation, type Happening, type Limits } from "@thorntrail/emulator/checker";
 import { specOf } from "./world/parts.js";
 
 // The checker must be able to fail: each rule has a history that breaks it and nothing else.
@@ -99,3 +99,69 @@
   assert.equal(broken([...polls(10_000, 80_000), told(81_000, "running"), ...polls(85_000, 150_000)], 0), "", "one answer is enough");
   assert.equal(broken([...polls(10_000, 80_000), ...polls(85_000, 86_000)], 0), "", "75 s are not over");
 });
+
+test("answers are judged in real time: two that overlap may differ, one asked after another had come is never older", () => {
+  const answer = (at: number, asked: number, what: "unknown" | "queued" | "done" | "withdrawn" | "refused"): Happening => ({
+    at,
+    asked,
+    kind: "told",
+    ref: "run-000001",
+    what,
+  });
+  const ran = [submitted(), on(2, 0, "x"), on(2, 1, "y"), off(9, 0, "x"), off(9, 1, "y")];
+  const judge = (...answers: Happening[]): string => brokenRules([...ran, ...answers], limits).join();
+  // Asked before the other had come, answered after it.
+  assert.equal(judge(answer(20, 10, "queued"), answer(21, 19, "unknown")), "");
+  assert.equal(judge(answer(20, 10, "done"), answer(21, 19, "queued")), "");
+  assert.match(judge(answer(20, 10, "queued"), answer(30, 20, "unknown")), /^forgotten/);
+  assert.match(judge(answer(20, 10, "queued"), answer(30, 21, "refused")), /^forgotten/);
+  assert.match(judge(answer(20, 10, "done"), answer(30, 21, "queued")), /^went_back/);
+  // Acceptance counts from the first who was told, the end too, whoever asks later.
+  assert.match(judge(answer(20, 10, "queued"), answer(21, 5, "unknown"), answer(30, 20.5, "unknown")), /^forgotten/);
+  assert.match(judge(answer(20, 10, "done"), answer(25, 10, "done"), answer(30, 22, "queued")), /^went_back/);
+  // Both are final: they exclude one another, overlap or not.
+  assert.match(judge(asked, answer(20, 10, "done"), answer(21, 10, "withdrawn")), /^went_back/);
+});
+test("starts after a confirmed cancellation are counted; the rule is broken only past its time", () => {
+  const history = [
+    submitted(),
+    asked,
+    told(3, "withdrawn"),
+    on(4, 0, "x"),
+    off(5, 0, "x", "stopped"),
+    on(6, 1, "x"),
+    off(7, 1, "x", "stopped"),
+  ];
+  assert.deepEqual([brokenRules(history, limits), startsAfterCancellation(history)], [[], 2]);
+  assert.equal(startsAfterCancellation(good), 0);
+});
+test("a job that must not be accepted is seen when it is, and a refusal of it is no fault", () => {
+  const wrong: Happening = { at: 0, kind: "submitted", spec: spec({ ref: "run-000002", cpus: 500 }), never: "fits no machine" };
+  const answer = (what: "refused" | "queued"): Happening => ({ at: 1, kind: "told", ref: "run-000002", what });
+  assert.deepEqual(brokenRules([...good, wrong, answer("refused")], limits), []);
+  assert.match(brokenRules([...good, wrong, answer("queued")], limits).join(), /^accepted_wrongly .*run-000002: fits no machine$/);
+});
+test("once the troubles are over, a job that waits beside room that fits it is seen, and others are not", () => {
+  const up = (over: object = {}): Happening =>
+    ({
+      ...{ at: 0, kind: "up", host: "z", type: "m", zone: "a", spot: false, cpus: 8, gpus: 0, ram: 64, ...over },
+    }) as Happening;
+  const began = [submitted(), told(1, "queued"), on(2, 0, "x")];
+  const broken = (history: Happening[], over: Partial<Limits> = {}): string =>
+    brokenRules([...history, ...began], { ...limits, calmAt: 10_000, until: 101_000, ...over }).join();
+  assert.match(broken([up()]), /^idle_room at 100\.0 s: run-000001 waits though there is room$/);
+  assert.equal(broken([up()], { until: 99_000 }), "", "90 s are not over");
+  assert.equal(broken([up()], { calmAt: 20_000 }), "", "the troubles count for nothing");
+  assert.equal(broken([up({ cpus: 3 })]), "", "no room for one of its tasks");
+  assert.equal(broken([up()], { teams: new Map([["ops", { cpus: 7, gpus: 0 }]]) }), "", "its team is at its limit");
+  assert.equal(broken([up({ spot: true })]), "", "it may not use a spot machine");
+  assert.equal(brokenRules([up(), ...began, { at: 60_000, kind: "gone", host: "z" }], { ...limits, calmAt: 0, until: 200_000 }).join(), "");
+  const gang = (cpus: number): string =>
+    brokenRules([up({ cpus }), submitted({ kind: "gang" }), told(1, "queued"), on(2, 0, "y", { at: 2 }), off(3, 0, "y", "alone")], {
+      ...limits,
+      calmAt: 10_000,
+      until: 101_000,
+    }).join();
+  assert.match(gang(8), /^idle_room/);
+  assert.equal(gang(7), "", "of a gang all must fit");
+});
