--- a/packages/emulator/src/conductor.ts
+++ b/packages/emulator/src/conductor.ts
@@ -1,5 +1,5 @@
-import type { Happening } from "./checker.js";
-import { carryOut, lastsMs, type Fault, type Stage } from "./faults.js";
+import { startsAfterCancellation, type Happening } from "./checker.js";
+import { carryOut, lastsMs, type Crowd, type Fault, type Stage } from "./faults.js";
 import { seeded } from "./luck.js";
 import { submissions, type Moment, type Planned, type PlannedFault, type RehearsalPlan } from "./plan.js";
 import { Recoveries, tookOver } from "./recovery.js";
@@ -37,6 +37,8 @@
   seed: number;
   stage: Stage;
   users: UserPort;
+  /** Users with habits, where a fault is of their making. */
+  crowd: Crowd;
   /** In ms. */
   clock: { now(): number; after(ms: number, fn: () => void): unknown };
   momentOf: MomentOf;
@@ -149,7 +151,7 @@
     const { stage, clock, say } = this.options;
     const act = (): void => {
       if (this.stopped) return;
-      const met = carryOut(stage, fault);
+      const met = carryOut(stage, fault, this.options.crowd);
       this.lastTroubleMs = Math.max(this.lastTroubleMs, clock.now() + lastsMs(fault));
       this.faults.push({ at: Math.round(this.sinceMs) / 1000, kind: fault.kind, met });
       if (fault.kind === "restart" || fault.kind === "freeze" || fault.kind === "cut")
@@ -203,6 +205,7 @@
       moments: this.moments,
       takeovers: this.takeovers,
       recoveries: this.recoveries.all,
+      started_cancelled: startsAfterCancellation(this.options.history()),
       classes: classFigures(this.options.history(), new Map(this.planned.map((one) => [one.spec.ref, one]))),
       ...rest,
     };
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -12,6 +12,7 @@
 const machine = z.string().min(1).default("busiest");
 const count = z.number().int().min(1).max(1000);
 const service = z.enum(["state", "cloud"]);
+const share = z.number().min(0).max(1);
 
 export const faultSchema = z.discriminatedUnion("kind", [
   /** The controller's process ends without warning and starts again. */
@@ -74,13 +75,26 @@
   z.strictObject({ kind: z.literal("cut-machine"), target: machine, ...lasting }),
   /** Its reports arrive; answers and direct commands to it are lost. */
   z.strictObject({ kind: z.literal("deaf"), target: machine, count: count.default(1), ...lasting }),
-  /** Of that share of all workers' reports a copy arrives again, 2 s to `ms` later. */
+  /** It reaches no controller; direct commands reach it, and are answered. */
+  z.strictObject({ kind: z.literal("mute"), target: machine, count: count.default(1), ...lasting }),
+  /** Of that share of all workers' reports a copy arrives again, 2 s to `ms` later; or, `for_next`, at all controllers once one takes a part. */
   z.strictObject({
     kind: z.literal("late-reports"),
-    share: z.number().min(0).max(1).default(0.2),
+    share: share.default(0.2),
     ms: z.number().min(2000).max(120_000).default(40_000),
+    for_next: z.boolean().default(false),
     ...lasting,
   }),
+  /** That share of all transactions gets no answer, and is carried out 2 to 12 s later; or, `at_once`, right away. */
+  z.strictObject({ kind: z.literal("late-writes"), share: share.default(0.2), at_once: z.boolean().default(false), ...lasting }),
+  /** Users call off so many jobs that run and have long to go, within a fifth of a second; up to eight of their machines hang so long. */
+  z.strictObject({ kind: z.literal("cancel-now"), count: count.default(5), hang: seconds.default(0) }),
+  /** That share of the jobs that end is called off at the moment of the end. */
+  z.strictObject({ kind: z.literal("cancel-at-end"), share: share.default(0.5), ...lasting }),
+  /** Users repeat submissions, cancel what is done, and send jobs that fit no machine or lack a field. */
+  z.strictObject({ kind: z.literal("odd-requests"), ...lasting }),
+  /** Users ask at all controllers within milliseconds after a job was accepted, ended or cancelled. */
+  z.strictObject({ kind: z.literal("close-looks"), ...lasting }),
   /** For so long, or from now on, so many machines of a type (`*`: of any) are to be had, in one zone or in all; those rented stay. */
   z.strictObject({
     kind: z.literal("capacity"),
@@ -107,6 +121,9 @@
   return { wrong: parsed.error.issues.map((issue) => `${issue.path.join(".") || String(kind)}: ${issue.message}`).join("; ") };
 }
 
+/** What users do beside their own work while it lasts. */
+export type Habit = "cancel-at-end" | "odd-requests" | "close-looks";
+
 /** Offers whose capacity is another now, and what makes it what it was. */
 export interface CapacityChange {
   met: string[];
@@ -143,9 +160,22 @@
   prices(factor: number): void;
 }
 
+/** Users, as far as faults are of their making. */
+export interface Crowd {
+  /** Takes the habit up for so long, in ms. */
+  begin(habit: Habit, share: number, ms: number): string[];
+  /** Calls off so many jobs that run and have long to go; the machines that they run on, the busiest first. */
+  cancelNow(count: number): { refs: string[]; hosts: string[] };
+}
+
+const MOST_HANGING = 8;
+const LATE_WRITES_MS = { leastMs: 2000, ms: 12_000 };
+
 /** How long it lasts, or until the last of what it sets off has come, in ms. */
 export function lastsMs(fault: Fault): number {
   const forMs = "for" in fault ? (fault.for ?? 0) * 1000 : 0;
+  if (fault.kind === "late-writes" && !fault.at_once) return forMs + LATE_WRITES_MS.ms;
+  if (fault.kind === "cancel-now") return fault.hang * 1000;
   return forMs + ("ms" in fault ? fault.ms : 0) + ("notice" in fault ? fault.notice * 1000 : 0);
 }
 
@@ -161,7 +191,7 @@
 }
 
 /** Carries the fault out; says whom it met. An empty list: there was nobody to meet. */
-export function carryOut(stage: Stage, fault: Fault): string[] {
+export function carryOut(stage: Stage, fault: Fault, crowd: Crowd): string[] {
   const until = (seconds: number, end: () => void): void => stage.after(seconds * 1000, end);
   const each = (names: string[], act: (name: string) => void): string[] => {
     for (const name of names) act(name);
@@ -243,12 +273,35 @@
       return each(machinesOf(stage, fault.target, fault.count), (to) =>
         until(fault.for, stage.rule({ from: "*", to, effect: { kind: "lose" } })),
       );
-    case "late-reports":
-      until(
-        fault.for,
-        stage.rule({ from: "workers", to: "controllers", what: "report", effect: { kind: "again", share: fault.share, mostMs: fault.ms } }),
+    case "mute":
+      return each(machinesOf(stage, fault.target, fault.count), (from) =>
+        until(fault.for, stage.rule({ from, to: "*", what: "report", effect: { kind: "lose" } })),
       );
+    case "late-reports": {
+      const { share } = fault;
+      const effect = fault.for_next ? ({ kind: "keep", share } as const) : ({ kind: "again", share, mostMs: fault.ms } as const);
+      until(fault.for, stage.rule({ from: "workers", to: "controllers", what: "report", effect }));
       return stage.machines();
+    }
+    case "late-writes": {
+      const effect = fault.at_once ? ({ kind: "drop" } as const) : ({ kind: "late", ...LATE_WRITES_MS } as const);
+      until(fault.for, stage.rule({ from: "*", to: "state", what: "txn", effect, share: fault.share }));
+      return stage.controllers();
+    }
+    case "cancel-now": {
+      const { refs, hosts } = crowd.cancelNow(fault.count);
+      if (fault.hang > 0)
+        for (const host of hosts.slice(0, MOST_HANGING)) {
+          stage.hang(host, true);
+          until(fault.hang, () => stage.hang(host, false));
+        }
+      return refs;
+    }
+    case "cancel-at-end":
+      return crowd.begin(fault.kind, fault.share, fault.for * 1000);
+    case "odd-requests":
+    case "close-looks":
+      return crowd.begin(fault.kind, 1, fault.for * 1000);
     case "cut-machine":
       return each(machinesOf(stage, fault.target), (from) => until(fault.for, stage.rule({ from, to: "*", effect: { kind: "cut" } })));
   }
--- a/packages/emulator/src/links.ts
+++ b/packages/emulator/src/links.ts
@@ -13,17 +13,22 @@
   | { kind: "delay"; ms: number }
   /** Executed, the answer is lost. */
   | { kind: "drop" }
-  /** Executed so much later; no answer comes. */
-  | { kind: "late"; ms: number }
+  /** Executed so much later, or between `leastMs` and `ms`; no answer comes. */
+  | { kind: "late"; ms: number; leastMs?: number }
   /** Executed a second time, right after. */
   | { kind: "twice" }
   /** Never arrives, and nobody says so. */
   | { kind: "lose" }
   /** Of that share, a copy arrives again, 2 s to `mostMs` later. */
   | { kind: "again"; share: number; mostMs: number }
+  /** Of that share, a copy is kept, and comes again when a controller takes a part. */
+  | { kind: "keep"; share: number }
   /** Executed, and answered wrongly. */
   | { kind: "wrong"; form: WrongForm };
 
+/** What becomes of a call that has arrived. */
+type Executed = Exclude<Effect, { kind: "cut" | "delay" | "lose" | "again" | "keep" }>;
+
 export interface Call {
   from: string;
   to: string;
@@ -38,6 +43,8 @@
   effect: Effect;
   /** How many calls it meets; without it, all until it ends. */
   count?: number;
+  /** Of the calls it would meet, that share; without it, each. */
+  share?: number;
 }
 
 interface Rule extends Required<RuleAsked> {
@@ -49,7 +56,7 @@
 const isMachine = (name: string): boolean => name.startsWith("i-");
 const SERVICES = new Set(["state", "cloud"]);
 /** What is done to a message on its way, whatever it asks for. */
-const ON_THE_WAY = new Set<Effect["kind"]>(["cut", "delay", "lose", "again"]);
+const ON_THE_WAY = new Set<Effect["kind"]>(["cut", "delay", "lose", "again", "keep"]);
 /** A copy of a message comes no sooner. */
 const LEAST_AGAIN_MS = 2000;
 
@@ -63,9 +70,11 @@
   private rules: Rule[] = [];
   private count = 0;
 
+  constructor(private readonly luck: () => number = Math.random) {}
+
   /** The rule holds until the function returned is called; what it held goes on its way then. */
   add(asked: RuleAsked): () => void {
-    const rule: Rule = { what: "*", count: Infinity, ...asked, id: ++this.count, held: [] };
+    const rule: Rule = { what: "*", count: Infinity, share: 1, ...asked, id: ++this.count, held: [] };
     this.rules.push(rule);
     return () => {
       this.rules = this.rules.filter((other) => other !== rule);
@@ -119,12 +128,20 @@
     return LEAST_AGAIN_MS + luck() * Math.max(0, effect.mostMs - LEAST_AGAIN_MS);
   }
 
+  /** A copy of it is kept for the next controller that takes a part. */
+  keeps(call: Call, luck: () => number): boolean {
+    const effect = this.find(call, ({ kind }) => kind === "keep")?.effect;
+    return effect?.kind === "keep" && luck() < effect.share;
+  }
+
   /** What becomes of the call once it has arrived; counts against rules that meet so many. */
-  judge(call: Call): Exclude<Effect, { kind: "cut" | "delay" | "lose" | "again" }> | null {
+  judge(call: Call): Executed | null {
     const rule = this.find(call, ({ kind }) => !ON_THE_WAY.has(kind));
-    if (rule === undefined) return null;
+    if (rule === undefined || (rule.share < 1 && this.luck() >= rule.share)) return null;
     rule.count--;
     if (rule.count <= 0) this.rules = this.rules.filter((other) => other !== rule);
-    return rule.effect as Exclude<Effect, { kind: "cut" | "delay" | "lose" | "again" }>;
+    const effect = rule.effect as Executed;
+    if (effect.kind !== "late" || effect.leastMs === undefined) return effect;
+    return { kind: "late", ms: effect.leastMs + this.luck() * (effect.ms - effect.leastMs) };
   }
 }
--- a/packages/emulator/src/real/admin.ts
+++ b/packages/emulator/src/real/admin.ts
@@ -19,7 +19,7 @@
     const asked = decodeFault(req.body);
     if ("wrong" in asked) return void res.status(400).json({ error: asked.wrong });
     await rig.findLeader();
-    res.json({ kind: asked.fault.kind, met: carryOut(rig, asked.fault) });
+    res.json({ kind: asked.fault.kind, met: carryOut(rig, asked.fault, rig.crowd) });
   });
   app.post("/jobs", (req, res) => {
     const asked = decodeJob(req.body);
--- a/packages/emulator/src/real/play.ts
+++ b/packages/emulator/src/real/play.ts
@@ -35,6 +35,7 @@
     seed,
     stage: rig,
     users: rig.port,
+    crowd: rig.crowd,
     clock: rig.clock,
     momentOf: options.momentOf,
     pollMs: () => rig.pollMs(),
--- a/packages/emulator/src/real/rig.ts
+++ b/packages/emulator/src/real/rig.ts
@@ -7,6 +7,7 @@
 import { brokenRules, type Happening, type Limits } from "../checker.js";
 import { CloudModel } from "../cloud-model.js";
 import type { UserPort } from "../conductor.js";
+import { HabitualUsers } from "../crowd.js";
 import type { CapacityChange, Stage } from "../faults.js";
 import { Links } from "../links.js";
 import { seeded } from "../luck.js";
@@ -53,10 +54,12 @@
 /** A whole cluster on this machine: store and controllers as processes, cloud, workers and users in this one. */
 export class Rig implements Stage {
   readonly history: Happening[] = [];
-  readonly links = new Links();
+  readonly links = new Links(() => this.luck());
   readonly dir = mkdtempSync(join(tmpdir(), "thorntrail-"));
   readonly cloud: CloudModel;
   readonly ended: string[] = [];
+  /** Users with habits of their own, who reach each controller by itself. */
+  readonly crowd: HabitualUsers;
   takeovers = 0;
   private readonly luck: () => number;
   private readonly specs = new Map<string, Planned>();
@@ -89,6 +92,18 @@
       lagMs: options.timing.listLagMs,
       ...(options.plan.boots === undefined ? {} : { luck: this.luck, boots: options.plan.boots }),
     });
+    const frontOf = (node: string): string => this.fronts.get(node) ?? this.front;
+    this.crowd = new HabitualUsers(
+      {
+        controllers: () => this.controllers(),
+        submit: (wire, spec, node, never) => this.users.offer(wire, spec, frontOf(node), never),
+        poll: (ref, node) => this.users.poll(ref, frontOf(node)),
+        cancel: (ref, node) => this.users.cancel(ref, frontOf(node)),
+        runMs: (ref) => this.specs.get(ref)?.runMs ?? 0,
+      },
+      this.clock,
+      this.luck,
+    );
     this.processes = new Processes(
       options.program,
       (name, line) => this.hearLine(name, line),
@@ -113,6 +128,7 @@
 
   private happened(event: Happening): void {
     this.history.push(event);
+    this.crowd.hear(event);
     this.options.onHappening?.(event);
   }
 
@@ -174,7 +190,12 @@
     this.balancer = new Balancer(this.fronts, this.luck);
     this.closers.push(() => this.balancer.close());
     this.front = await this.balancer.start();
-    this.users = new Users(this.front, () => this.clock.now(), this.history, this.luck);
+    this.users = new Users(
+      this.front,
+      () => this.clock.now(),
+      (event) => this.happened(event),
+      this.luck,
+    );
     this.closers.push(() => this.users.close());
     for (const name of names) await this.startController(name);
     const until = this.clock.now() + 30_000;
--- a/packages/emulator/src/real/users.ts
+++ b/packages/emulator/src/real/users.ts
@@ -1,4 +1,4 @@
-import { encodeJob } from "@thorntrail/protocol/jobs";
+import { encodeJob, type JobSpec } from "@thorntrail/protocol/jobs";
 import type { Happening } from "../checker.js";
 import type { Planned } from "../plan.js";
 import { agentOf, ask, objectOf, type Raw } from "./http.js";
@@ -22,7 +22,7 @@
   constructor(
     private readonly addr: string,
     private readonly now: () => number,
-    private readonly history: Happening[],
+    private readonly happened: (event: Happening) => void,
     private readonly luck: () => number,
   ) {}
 
@@ -30,20 +30,22 @@
     return new Promise((resolve) => setTimeout(resolve, ms));
   }
 
-  private hear(ref: string, answer: Raw | null): void {
+  /** `asked`: when the question was sent. */
+  private hear(ref: string, asked: number, answer: Raw | null): void {
     if (answer === null) return;
-    const at = this.now();
-    if (answer.status === 200 || answer.status === 201)
-      this.history.push({ at, kind: "told", ref, what: (objectOf(answer.text)["status"] as "done" | undefined) ?? "queued" });
-    else if (answer.status === 404) this.history.push({ at, kind: "told", ref, what: "unknown" });
-    else if (answer.status === 400 || answer.status === 422) this.history.push({ at, kind: "told", ref, what: "refused" });
+    const tell = (what: Extract<Happening, { kind: "told" }>["what"]): void =>
+      this.happened({ at: this.now(), kind: "told", ref, asked, what });
+    if (answer.status === 200 || answer.status === 201) tell((objectOf(answer.text)["status"] as "done" | undefined) ?? "queued");
+    else if (answer.status === 404) tell("unknown");
+    else if (answer.status === 400 || answer.status === 422) tell("refused");
   }
 
-  private async insist(path: string, ref: string, body: string | undefined): Promise<Raw | null> {
+  private async insist(path: string, ref: string, body: string | undefined, addr = this.addr): Promise<Raw | null> {
     const until = this.now() + GIVE_UP_MS;
     while (!this.over && this.now() < until) {
-      const answer = await ask(this.agent, this.addr, "POST", path, body, PATIENCE_MS.submit);
-      this.hear(ref, answer);
+      const asked = this.now();
+      const answer = await ask(this.agent, addr, "POST", path, body, PATIENCE_MS.submit);
+      this.hear(ref, asked, answer);
       if (answer !== null && answer.status < 429) return answer;
       await this.wait(Math.max(1000, Number(answer?.retryAfter ?? 0) * 1000));
     }
@@ -55,7 +57,7 @@
     const { spec } = planned;
     const seen: JobSeen = { planned, acceptedMs: null, final: null };
     this.jobs.set(spec.ref, seen);
-    this.history.push({ at: this.now(), kind: "submitted", spec });
+    this.happened({ at: this.now(), kind: "submitted", spec });
     const accepted = await this.insist("/v2/runs", spec.ref, JSON.stringify(encodeJob(spec)));
     if (accepted === null || accepted.status >= 400) return false;
     seen.acceptedMs = this.now();
@@ -63,10 +65,11 @@
   }
 
   /** The state as told; empty if there was none. */
-  async poll(ref: string): Promise<string> {
-    const answer = await ask(this.agent, this.addr, "GET", `/v2/runs/${ref}`, undefined, PATIENCE_MS.poll);
-    this.hear(ref, answer);
-    if (answer?.status !== 200 && answer?.status !== 404) this.history.push({ at: this.now(), kind: "unanswered", ref });
+  async poll(ref: string, addr = this.addr): Promise<string> {
+    const asked = this.now();
+    const answer = await ask(this.agent, addr, "GET", `/v2/runs/${ref}`, undefined, PATIENCE_MS.poll);
+    this.hear(ref, asked, answer);
+    if (answer?.status !== 200 && answer?.status !== 404) this.happened({ at: this.now(), kind: "unanswered", ref });
     const status = answer?.status === 200 ? objectOf(answer.text)["status"] : undefined;
     const seen = this.jobs.get(ref);
     if (seen !== undefined && (status === "done" || status === "withdrawn")) seen.final = status;
@@ -89,9 +92,15 @@
     }
   }
 
-  async cancel(ref: string): Promise<void> {
-    this.history.push({ at: this.now(), kind: "asked-cancel", ref });
-    await this.insist(`/v2/runs/${ref}/cancel`, ref, undefined);
+  async cancel(ref: string, addr = this.addr): Promise<void> {
+    this.happened({ at: this.now(), kind: "asked-cancel", ref });
+    await this.insist(`/v2/runs/${ref}/cancel`, ref, undefined, addr);
+  }
+
+  /** A submission of what is said, at one controller; `never`: why it must not be accepted. */
+  async offer(wire: Record<string, unknown>, spec: JobSpec, addr: string, never?: string): Promise<void> {
+    if (never !== undefined) this.happened({ at: this.now(), kind: "submitted", spec, never });
+    await this.insist("/v2/runs", spec.ref, JSON.stringify(wire), addr);
   }
 
   close(): void {
--- a/packages/emulator/src/real/worker-host.ts
+++ b/packages/emulator/src/real/worker-host.ts
@@ -82,6 +82,8 @@
     if (this.links.hold(call, () => void post())) return new Promise((resolve) => this.world.clock.after(PATIENCE_MS, () => resolve(null)));
     const delayMs = this.links.delayMs(call);
     if (delayMs > 0) await new Promise<void>((resolve) => this.world.clock.after(delayMs, resolve));
+    // It reaches no controller.
+    if (this.links.loses(call)) return new Promise((resolve) => this.world.clock.after(PATIENCE_MS, () => resolve(null)));
     const againMs = this.links.againMs(call, this.world.luck);
     if (againMs !== null) this.world.clock.after(againMs, () => void post());
     const answer = answerOf(await post());
--- a/packages/emulator/src/recovery.ts
+++ b/packages/emulator/src/recovery.ts
@@ -14,9 +14,14 @@
   back: number | null;
 }
 
+/** Did a controller take a part, for whatever reason? */
+export function isTakeover(what: string): boolean {
+  return what === "part taken";
+}
+
 /** Did a part change hands because its leader was lost? */
 export function tookOver(what: string, detail: Record<string, unknown>): boolean {
-  return what === "part taken" && String(detail["reason"]).startsWith("owner");
+  return isTakeover(what) && String(detail["reason"]).startsWith("owner");
 }
 
 interface Line {
--- a/packages/emulator/src/report.ts
+++ b/packages/emulator/src/report.ts
@@ -11,6 +11,8 @@
   seconds: number;
   jobs: { submitted: number; accepted: number; done: number; withdrawn: number; unfinished: string[] };
   broken: string[];
+  /** Starts after a user had been told that the job is cancelled, all within the time for it or not. */
+  started_cancelled: number;
   faults: { at: number; kind: string; met: string[] }[];
   takeovers: number;
   recoveries: Recovery[];
--- a/packages/emulator/src/virtual/play.ts
+++ b/packages/emulator/src/virtual/play.ts
@@ -89,6 +89,7 @@
     stage: virtualStage(world),
     clock: world.clock,
     momentOf: options.momentOf,
+    crowd: world.crowd,
     pollMs: () => POLL_MS,
     history: () => world.history,
     users: {
--- a/packages/emulator/src/virtual/world.ts
+++ b/packages/emulator/src/virtual/world.ts
@@ -7,10 +7,12 @@
 import type { StoreLimits } from "@thorntrail/store/store";
 import { Subject } from "rxjs";
 import type { Happening, Limits } from "../checker.js";
+import { HabitualUsers } from "../crowd.js";
 import { CloudModel, type CloudPlan } from "../cloud-model.js";
 import type { Seen } from "../conductor.js";
 import { Links } from "../links.js";
 import { seeded } from "../luck.js";
+import { isTakeover } from "../recovery.js";
 import { Worker, type WorkerWorld } from "../worker-model.js";
 import { VirtualClock } from "./clock.js";
 import { NodeClock } from "./node-clock.js";
@@ -94,6 +96,13 @@
   incoming$: Subject<{ from: string; message: unknown }>;
 }
 
+/** Of tasks of which nobody said how long they run. */
+const USUAL_RUN_MS = 10_000;
+/** The crowd draws from numbers of its own: rehearsals without it are what they were. */
+const CROWD_SEED = 0x5eed;
+/** A kept report comes within so long of the new leader's beginning. */
+const KEPT_MS = 500;
+
 /** How long users wait for an answer (PROTOCOL). */
 const PATIENCE_MS = { submit: 5000, poll: 2000, cancel: 5000 };
 
@@ -103,7 +112,7 @@
   readonly history: Happening[] = [];
   /** Told of what happens to tasks as it does. */
   onHappening: (event: Happening) => void = () => undefined;
-  readonly links = new Links();
+  readonly links = new Links(() => this.random());
   readonly state: VirtualState;
   readonly cloud: CloudModel;
   readonly nodes = new Map<string, Node<C>>();
@@ -125,6 +134,12 @@
   readonly random: () => number;
   private lives = 0;
   fetchMs = 1000;
+  /** Users with habits of their own, beside those of whoever plays. */
+  readonly crowd: HabitualUsers;
+  /** Reports of which a copy is kept until a controller takes a part, and then reaches all controllers at once. */
+  private kept: Report[] = [];
+  /** Copies that reached a controller so. */
+  keptDelivered = 0;
 
   constructor(
     readonly plan: Plan,
@@ -140,8 +155,23 @@
       lagMs: 3000,
       ...(boots === undefined ? {} : { boots, luck: () => this.random() }),
     });
+    this.crowd = new HabitualUsers(
+      {
+        controllers: () => [...this.nodes.keys()],
+        submit: (wire, spec, node, never) => this.submit(wire, spec, node, never),
+        poll: (ref, node) => this.poll(ref, node),
+        cancel: (ref, node) => this.cancel(ref, node),
+        runMs: (ref) => this.runs.get(ref) ?? USUAL_RUN_MS,
+      },
+      this.clock,
+      seeded(plan.seed ^ CROWD_SEED),
+    );
+    this.seen$.subscribe(({ what }) => {
+      if (isTakeover(what)) this.clock.after(KEPT_MS * this.random(), () => this.deliverKept());
+    });
     this.cloud.onBoot = (host, offer) => this.boot(host, offer);
     this.cloud.onGone = (host) => {
+      if (this.workers.has(host)) this.happened({ at: this.clock.now(), kind: "gone", host });
       this.workers.get(host)?.die();
       this.workers.delete(host);
     };
@@ -310,8 +340,18 @@
     });
   }
 
+  /** A controller has just taken a part: old reports come to all of them. */
+  private deliverKept(): void {
+    for (const report of this.kept.splice(0))
+      for (const { name } of this.nodes.values())
+        this.via(name)(() => {
+          if (this.nodes.get(name)?.controller?.onReport(report) !== undefined) this.keptDelivered++;
+        });
+  }
+
   private happened(event: Happening): void {
     this.history.push(event);
+    this.crowd.hear(event);
     this.onHappening(event);
   }
 
@@ -327,7 +367,9 @@
       nodes: [...this.nodes.keys()],
       report: (node, from, report) =>
         new Promise<ReportAnswer | null>((resolve) => {
-          const againMs = this.links.againMs({ from, to: node, what: "report" }, this.random);
+          const call = { from, to: node, what: "report" };
+          if (this.links.keeps(call, this.random)) this.kept.push(report);
+          const againMs = this.links.againMs(call, this.random);
           // A copy finds whatever life the node has by then, and nobody waits for its answer.
           if (againMs !== null)
             this.clock.after(againMs, () => this.via(node)(() => void this.nodes.get(node)?.controller?.onReport(report)));
@@ -341,7 +383,7 @@
           });
         }),
       spec: (ref) => this.specs.get(ref),
-      runMs: (ref) => this.runs.get(ref) ?? 10_000,
+      runMs: (ref) => this.runs.get(ref) ?? USUAL_RUN_MS,
       fetchMs: () => this.fetchMs,
       slowness: (name) => this.slow.get(name) ?? 1,
       sick: (name, ref) => this.sickHosts.has(name) || this.mistaken.has(ref),
@@ -353,7 +395,9 @@
           [...worker.tasks.values()].filter((t) => t.ref === ref && t.attempt === attempt).map((task) => ({ worker, task })),
         ),
     };
-    this.workers.set(host, new Worker(host, offer, { cpus: type.cpus, gpus: type.gpus, ram: type.ram }, around));
+    const { cpus, gpus, ram } = type;
+    this.workers.set(host, new Worker(host, offer, { cpus, gpus, ram }, around));
+    this.happened({ at: this.clock.now(), kind: "up", host, ...offer, cpus, gpus, ram });
   }
 
   // ---- users
@@ -375,20 +419,24 @@
     });
   }
 
-  private told(ref: string, status: number, body: Record<string, unknown>): void {
-    if (status === 201 || status === 200)
-      this.history.push({ at: this.clock.now(), kind: "told", ref, what: (body["status"] as "done" | undefined) ?? "queued" });
-    else if (status === 404) this.history.push({ at: this.clock.now(), kind: "told", ref, what: "unknown" });
-    else if (status === 400 || status === 422) this.history.push({ at: this.clock.now(), kind: "told", ref, what: "refused" });
+  /** `asked`: when the question was sent. */
+  private told(ref: string, asked: number, status: number, body: Record<string, unknown>): void {
+    const tell = (what: Extract<Happening, { kind: "told" }>["what"]): void =>
+      this.happened({ at: this.clock.now(), kind: "told", ref, asked, what });
+    if (status === 201 || status === 200) tell((body["status"] as "done" | undefined) ?? "queued");
+    else if (status === 404) tell("unknown");
+    else if (status === 400 || status === 422) tell("refused");
   }
 
-  /** False: it was refused, or given up. */
-  async submit(wire: Record<string, unknown>, spec: JobSpec, node?: string): Promise<boolean> {
+  /** False: it was refused, or given up. `never`: why it must not be accepted. */
+  async submit(wire: Record<string, unknown>, spec: JobSpec, node?: string, never?: string): Promise<boolean> {
+    if (!this.specs.has(spec.ref))
+      this.happened({ at: this.clock.now(), kind: "submitted", spec, ...(never === undefined ? {} : { never }) });
     this.specs.set(spec.ref, spec);
-    this.history.push({ at: this.clock.now(), kind: "submitted", spec });
     for (let i = 0; i < 60; i++) {
+      const asked = this.clock.now();
       const answer = await this.ask("submit", wire, node);
-      if (answer !== undefined) this.told(spec.ref, answer.status, answer.body);
+      if (answer !== undefined) this.told(spec.ref, asked, answer.status, answer.body);
       if (answer !== undefined && answer.status < 500 && answer.status !== 429) return answer.status < 300;
       await new Promise<void>((resolve) => this.clock.after(1000, resolve));
     }
@@ -396,18 +444,20 @@
   }
 
   async poll(ref: string, node?: string): Promise<string> {
+    const asked = this.clock.now();
     const answer = await this.ask("poll", ref, node);
     if (answer?.status !== 200 && answer?.status !== 404) this.history.push({ at: this.clock.now(), kind: "unanswered", ref });
     if (answer === undefined) return "down";
-    this.told(ref, answer.status, answer.body);
+    this.told(ref, asked, answer.status, answer.body);
     return answer.status === 200 ? String(answer.body["status"]) : String(answer.status);
   }
 
   async cancel(ref: string, node?: string): Promise<void> {
     this.history.push({ at: this.clock.now(), kind: "asked-cancel", ref });
     for (let i = 0; i < 60; i++) {
+      const asked = this.clock.now();
       const answer = await this.ask("cancel", ref, node);
-      if (answer !== undefined) this.told(ref, answer.status, answer.body);
+      if (answer !== undefined) this.told(ref, asked, answer.status, answer.body);
       if (answer?.status === 200) return;
       await new Promise<void>((resolve) => this.clock.after(1000, resolve));
     }
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -1,5 +1,7 @@
 import { encodeJob, type JobKind, type JobSpec, type Urgency } from "@thorntrail/protocol/jobs";
 import { keys, type SliceRecord, type SuspicionRecord } from "../../src/ledger/records.js";
+import { carryOut, decodeFault } from "@thorntrail/emulator/faults";
+import { virtualStage } from "@thorntrail/emulator/virtual/play";
 import { plainPlan, World as AnyWorld, type Plan, type Spawned } from "@thorntrail/emulator/entry";
 import { spawnController, type Rehearsed } from "../../src/rehearsal/spawn.js";
 
@@ -194,6 +196,22 @@
       for (const to of hostsOf(world, a.replace("hosts-of:", "")))
         world.clock.after(Number(c) * 1000, world.links.add({ from: "*", to, effect: { kind: "lose" } }));
       return;
+    case "mute":
+      // mute X for N: what its machines report is lost; direct commands reach them, and are answered.
+      for (const from of hostsOf(world, a.replace("hosts-of:", "")))
+        world.clock.after(Number(c) * 1000, world.links.add({ from, to: "*", what: "report", effect: { kind: "lose" } }));
+      return;
+    case "fault": {
+      // fault KIND field=value ...: as plans have it.
+      const fields = step.words.slice(2).map((word) => {
+        const [name, value] = word.split("=") as [string, string];
+        return [name, value === "true" || value === "false" ? value === "true" : Number.isNaN(Number(value)) ? value : Number(value)];
+      });
+      const decoded = decodeFault({ kind: a, ...Object.fromEntries(fields) });
+      if ("wrong" in decoded) throw new Error(`${step.line}: ${decoded.wrong}`);
+      if (carryOut(virtualStage(world), decoded.fault, world.crowd).length === 0) failures.push(`${step.line}: met nobody`);
+      return;
+    }
     case "repeat-reports": {
       // repeat-reports SHARE within S for N: copies of that share of the reports arrive up to S seconds later.
       const effect = { kind: "again", share: Number(a), mostMs: Number(c) * 1000 } as const;
