--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -139,11 +139,16 @@
   return `${name}-${String(Number(digits) + i).padStart(digits.length, "0")}`;
 }
 
-/** Hosts running a task of the job, or all hosts. */
+/** Hosts running a task of the job, those of a zone, or all hosts. */
 function hostsOf(world: World, word: string): string[] {
   const all = [...world.workers.values()];
+  const zone = /^zone:(.+)$/.exec(word)?.[1];
   const chosen =
-    word === "all" ? all : all.filter((w) => [...w.tasks.values()].some((t) => t.piece.startsWith(`${word}/`) && t.state !== "exited"));
+    zone !== undefined
+      ? all.filter((w) => w.offer.zone === zone)
+      : word === "all"
+        ? all
+        : all.filter((w) => [...w.tasks.values()].some((t) => t.piece.startsWith(`${word}/`) && t.state !== "exited"));
   return chosen.map((w) => w.host).sort();
 }
 
@@ -387,6 +392,13 @@
     const most = Math.max(0, ...[...node!.controller!.mirror.rows<SuspicionRecord>(keys.suspicions).values()].map(({ v }) => v.n));
     return check(most >= 1 && most <= Number(c), most);
   }
+  if (subject === "met") {
+    // met WHAT at-least N: so often did users with habits, or kept reports, meet their moment.
+    const met: Record<string, number> = { ...world.crowd.met, keptReports: world.keptDelivered };
+    const n = met[what];
+    if (n === undefined) throw new Error(`${step.line}: expected one of ${Object.keys(met).join(", ")}`);
+    return check(n >= Number(d), n);
+  }
   if (subject === "set-aside") {
     const n = world.lines.filter((line) => line.includes("set aside")).length;
     return check(n <= Number(c), n);
