--- a/src/parts/progress.ts
+++ b/src/parts/progress.ts
@@ -24,6 +24,11 @@
   record(part: Part, unit: Unit): void {
     if (unit.committing) return;
     if (unit.done.full) return this.recordNow(part, unit);
+    this.later(part, unit);
+  }
+
+  /** Nothing asks again for what was not taken because too many writes waited: a job whose tasks are all done would stay open for ever. */
+  private later(part: Part, unit: Unit): void {
     if (unit.recordDue) return;
     unit.recordDue = true;
     this.led.scope.clock.after(this.led.settings.timing.leaseMs, () => {
@@ -66,7 +71,7 @@
       if (outcome === "done") {
         this.led.scope.log.debug({ part: part.id, job: ref, done: unit.done.count, of: unit.hi - unit.lo }, "progress recorded");
         if (unit.done.count > sent) this.record(part, unit);
-      }
+      } else if (outcome === "shed" && !unit.ended && this.led.parts.get(part.id) === part) this.later(part, unit);
     });
   }
 
