--- a/deploy/meetings.hcl
+++ b/deploy/meetings.hcl
@@ -1,5 +1,5 @@
 # A plan for drawn rehearsals: long tasks of all three kinds, of which some jobs are cancelled, small jobs of a
-# few tasks, and a pipeline. `thorntrail rehearse deploy/meetings.hcl --virtual --drawn 200`
+# few tasks, some bound to one zone, and a pipeline. `thorntrail rehearse deploy/meetings.hcl --virtual --drawn 200`
 name        = "meetings"
 seconds     = 100
 settle      = 220
@@ -21,7 +21,8 @@
   cpus  = 16
   ram   = 64
   boot  = 2
-  count = 10
+  count = 5
+  zones = ["a", "b"]
 }
 machine {
   name       = "fotolab"
@@ -88,6 +89,29 @@
   jobs            = 3
   cancelled_after = 50
 }
+work {
+  name     = "cuaderno" # bound to one zone, whichever
+  team     = "mesa-loja"
+  tasks    = 4
+  cpus     = 3
+  run      = 18
+  one_zone = true
+  every    = 11
+  jobs     = 7
+}
+work {
+  name     = "suplemento" # a gang of one zone
+  team     = "mesa-azuay"
+  shape    = "gang"
+  urgency  = "urgent"
+  tasks    = 3
+  cpus     = 4
+  run      = 16
+  saves    = 4
+  one_zone = true
+  every    = 19
+  jobs     = 4
+}
 work {
   name  = "pareja" # few tasks that end far apart
   team  = "mesa-loja"
@@ -119,3 +143,57 @@
   after    = "indice"
   image_gb = 0.2
 }
+
+# Played as it is, without --drawn: users ask everywhere at once and cancel what ends, answers of the state service are
+# lost, machines reach nobody, and the leader ends.
+fault {
+  kind = "close-looks"
+  at   = 8
+  for  = 90
+}
+fault {
+  kind  = "cancel-at-end"
+  at    = 8
+  share = 0.3
+  for   = 90
+}
+fault {
+  kind = "odd-requests"
+  at   = 10
+  for  = 60
+}
+fault {
+  kind    = "late-writes"
+  at      = 20
+  share   = 0.4
+  at_once = true
+  for     = 15
+}
+fault {
+  kind = "restart"
+  at   = 28
+  for  = 4
+}
+fault {
+  kind  = "mute"
+  at    = 45
+  count = 2
+  for   = 12
+}
+fault {
+  kind  = "cancel-now"
+  at    = 50
+  count = 3
+  hang  = 6
+}
+fault {
+  kind  = "late-writes"
+  at    = 60
+  share = 0.3
+  for   = 10
+}
+fault {
+  kind = "restart"
+  at   = 64
+  for  = 0.3
+}
--- a/packages/emulator/src/drawn.ts
+++ b/packages/emulator/src/drawn.ts
@@ -87,6 +87,8 @@
   (luck) => ({ kind: "cut-machine", target: "busiest", for: lasting(luck) }),
   (luck) => ({ kind: "hang", target: "busiest", for: lasting(luck) }),
   (luck) => ({ kind: "lose", target: "busiest", count: luck.whole(1, 3) }),
+  (luck) => ({ kind: "lose", target: "busiest", count: luck.whole(4, 8) }),
+  (luck) => ({ kind: "capacity", target: "*", zone: luck.of(["a", "b"]), count: 0, spot: 0, for: luck.between(5, 60) }),
   (luck) => ({ kind: "take", target: "busiest", notice: luck.between(0, 20) }),
   (luck) => ({ kind: "slow", target: "busiest", factor: luck.whole(2, 5) }),
 ];
--- /dev/null
+++ b/packages/emulator/test/crowd.test.ts
@@ -0,0 +1,190 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
+import { HabitualUsers } from "../src/crowd.js";
+import { carryOut, decodeFault, lastsMs, type Crowd, type Fault, type Stage } from "../src/faults.js";
+import { Links } from "../src/links.js";
+import { seeded } from "../src/luck.js";
+import { VirtualClock } from "../src/virtual/clock.js";
+
+const spec = (ref: string, over: Partial<JobSpec> = {}): JobSpec => ({
+  ref,
+  klass: "c",
+  team: "ops",
+  kind: "array",
+  urgency: "normal",
+  tasks: 1,
+  cpus: 1,
+  gpus: 0,
+  ram: 1,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  image: "img",
+  imageGb: 1,
+  guessS: 10,
+  checkpointS: 0,
+  flushS: 0,
+  deadlineS: null,
+  ...over,
+});
+
+function crowd() {
+  const clock = new VirtualClock();
+  const asked: string[] = [];
+  const nodes = ["nest-0", "nest-1", "nest-2"];
+  const users = new HabitualUsers(
+    {
+      controllers: () => nodes,
+      submit: (_wire, { ref }, node, never) =>
+        Promise.resolve(void asked.push(`submit ${ref} ${node}${never === undefined ? "" : `: ${never}`}`)),
+      poll: (ref, node) => Promise.resolve(void asked.push(`poll ${ref} ${node}`)),
+      cancel: (ref, node) => Promise.resolve(void asked.push(`cancel ${ref} ${node}`)),
+      runMs: (ref) => Number(ref.slice(-3)) * 1000,
+    },
+    clock,
+    seeded(3),
+  );
+  const begins = (ref: string, host: string, over: Partial<JobSpec> = {}): void => {
+    users.hear({ at: clock.now(), kind: "submitted", spec: spec(ref, over) });
+    users.hear({ at: clock.now(), kind: "told", ref, what: "queued" });
+    users.hear({ at: clock.now(), kind: "on", piece: `${ref}/0`, host, type: "m", zone: "a", spot: false });
+  };
+  const ends = (ref: string, task = 0): void =>
+    users.hear({ at: clock.now(), kind: "off", piece: `${ref}/${task}`, host: "x", cause: "done" });
+  return { clock, asked, nodes, users, begins, ends, count: (what: string) => asked.filter((one) => one.startsWith(what)).length };
+}
+
+test("close looks: every controller is asked within milliseconds of an acceptance and of an end, and not after the time is over", async () => {
+  const { clock, asked, nodes, users, begins, ends, count } = crowd();
+  users.begin("close-looks", 1, 20_000);
+  begins("run-000001", "x");
+  await clock.run(100);
+  for (const node of nodes) assert.ok(count(`poll run-000001 ${node}`) >= 3, node);
+  assert.ok(count("submit run-000001") >= 1);
+  const before = asked.length;
+  ends("run-000001");
+  users.hear({ at: clock.now(), kind: "told", ref: "run-000001", what: "done" });
+  await clock.run(200);
+  assert.ok(asked.length > before + 6);
+  await clock.run(21_000);
+  const after = asked.length;
+  begins("run-000002", "x");
+  await clock.run(22_000);
+  assert.equal(asked.length, after);
+});
+
+test("a share of the jobs that end is called off at the moment of the end: of the last task, not before", async () => {
+  const { clock, asked, users, begins, ends } = crowd();
+  users.begin("cancel-at-end", 1, 10_000);
+  begins("run-000001", "x", { tasks: 2 });
+  ends("run-000001", 0);
+  ends("run-000001", 0);
+  assert.deepEqual(asked, []);
+  ends("run-000001", 1);
+  assert.equal(asked.length, 1);
+  assert.match(asked[0]!, /^cancel run-000001 nest-/);
+  assert.equal(users.met.cancelledAtEnd, 1);
+  await clock.run(11_000);
+  begins("run-000002", "x");
+  ends("run-000002");
+  assert.equal(asked.length, 1);
+});
+
+test("calling off now takes those that have longest to go, and names their machines, the busiest first", async () => {
+  const { clock, asked, users, begins } = crowd();
+  begins("run-000010", "a");
+  begins("run-000300", "b");
+  begins("run-000200", "b");
+  begins("run-000020", "c", { kind: "service" });
+  users.hear({ at: 0, kind: "submitted", spec: spec("run-000999") });
+  assert.deepEqual(users.cancelNow(3), { refs: ["run-000020", "run-000300", "run-000200"], hosts: ["b", "c"] });
+  await clock.run(200);
+  assert.deepEqual(asked.map((one) => one.split(" ")[1]).sort(), ["run-000020", "run-000200", "run-000300"]);
+});
+
+test("odd requests: repeated submissions, cancellations of what is done, and jobs that cannot be had", async () => {
+  const { clock, asked, users, begins, ends, count } = crowd();
+  begins("run-000001", "x");
+  begins("run-000002", "x");
+  ends("run-000002");
+  users.hear({ at: 1, kind: "told", ref: "run-000002", what: "done" });
+  users.begin("odd-requests", 1, 30_000);
+  await clock.run(29_500);
+  assert.equal(count("submit run-000001"), 30);
+  assert.equal(count("cancel run-000002"), 30);
+  const wrong = asked.filter((one) => one.includes(": "));
+  assert.equal(wrong.length, 30);
+  assert.ok(wrong.some((one) => one.includes("fits no machine")) && wrong.some((one) => one.includes("lacks ")));
+  await clock.run(90_000);
+  assert.equal(count("submit run-000001"), 30);
+});
+
+const fault = (raw: Record<string, unknown>): Fault => {
+  const decoded = decodeFault(raw);
+  if ("wrong" in decoded) throw new Error(decoded.wrong);
+  return decoded.fault;
+};
+
+test("the further faults say whom they met, how long they last, and what is wrong with them", async () => {
+  const clock = new VirtualClock();
+  const links = new Links(seeded(1));
+  const hanging = new Set<string>();
+  const stage = {
+    after: (ms: number, fn: () => void) => void clock.after(ms, fn),
+    rule: links.add.bind(links),
+    controllers: () => ["nest-0", "nest-1"],
+    machines: () => ["i-1", "i-2", "i-3"],
+    hang: (host: string, on: boolean) => void (on ? hanging.add(host) : hanging.delete(host)),
+  } as unknown as Stage;
+  const hosts = Array.from({ length: 12 }, (_, i) => `i-${i}`);
+  const users: Crowd = { begin: () => ["nest-0"], cancelNow: (count) => ({ refs: hosts.slice(0, count), hosts }) };
+  const strike = (raw: Record<string, unknown>): string[] => carryOut(stage, fault(raw), users);
+
+  assert.deepEqual(strike({ kind: "mute", count: 2, for: 5 }), ["i-1", "i-2"]);
+  assert.equal(links.loses({ from: "i-1", to: "nest-0", what: "report" }), true);
+  assert.equal(links.loses({ from: "i-1", to: "nest-0", what: "answer" }), false, "answers to direct commands come through");
+  assert.equal(links.loses({ from: "nest-0", to: "i-1", what: "command" }), false);
+  await clock.run(5001);
+  assert.equal(links.loses({ from: "i-1", to: "nest-0", what: "report" }), false);
+
+  assert.deepEqual(strike({ kind: "late-writes", share: 0.5, for: 5 }), ["nest-0", "nest-1"]);
+  const call = { from: "nest-0", to: "state", what: "txn" };
+  const judged = Array.from({ length: 400 }, () => links.judge(call));
+  const late = judged.filter((effect) => effect?.kind === "late").map((effect) => (effect as { ms: number }).ms);
+  assert.ok(late.length > 150 && late.length < 250, `${late.length} of 400`);
+  assert.ok(Math.min(...late) >= 2000 && Math.max(...late) <= 12_000 && Math.max(...late) > 9000);
+  assert.equal(links.judge({ ...call, what: "follow" }), null);
+  await clock.run(11_000);
+  strike({ kind: "late-writes", share: 1, at_once: true, for: 5 });
+  assert.deepEqual(links.judge(call), { kind: "drop" });
+  await clock.run(17_000);
+
+  strike({ kind: "late-reports", share: 1, for_next: true, for: 5 });
+  const report = { from: "i-1", to: "nest-0", what: "report" };
+  assert.deepEqual([links.keeps(report, () => 0.5), links.againMs(report, () => 0.5)], [true, null]);
+  await clock.run(23_000);
+  assert.equal(
+    links.keeps(report, () => 0.5),
+    false,
+  );
+
+  assert.equal(strike({ kind: "cancel-now", count: 3, hang: 4 }).length, 3);
+  assert.equal(hanging.size, 8, "no more than eight machines hang");
+  await clock.run(28_000);
+  assert.equal(hanging.size, 0);
+
+  assert.equal(lastsMs(fault({ kind: "late-writes", for: 5 })), 17_000, "until the last of them has been carried out");
+  assert.equal(lastsMs(fault({ kind: "cancel-now", hang: 4 })), 4000);
+  for (const [raw, wrong] of [
+    [{ kind: "late-writes", share: 2 }, /^share: /],
+    [{ kind: "cancel-now", count: 0 }, /^count: /],
+    [{ kind: "close-looks", share: 1 }, /share/],
+    [{ kind: "machine-mute" }, /^kind: expected one of .*mute.*close-looks/],
+  ] as [Record<string, unknown>, RegExp][]) {
+    const decoded = decodeFault(raw);
+    assert.match("wrong" in decoded ? decoded.wrong : "nothing wrong", wrong);
+  }
+});
