--- a/packages/emulator/src/drawn.ts
+++ b/packages/emulator/src/drawn.ts
@@ -4,7 +4,7 @@
 
 /**
  * Meetings that nobody listed: two or three troubles of the whole vocabulary, the second placed where it
- * matters, by seed. What a rehearsal of the seed was is told by its plan, which can be played again alone.
+ * matters, by seed; of every ten seeds three draw a divided lead. What a rehearsal of the seed was is told by its plan, which can be played again alone.
  */
 type Draw = (luck: Luck) => Record<string, unknown>;
 
@@ -93,19 +93,55 @@
   (luck) => ({ kind: "slow", target: "busiest", factor: luck.whole(2, 5) }),
 ];
 
+const NODES = ["nest-0", "nest-1", "nest-2"] as const;
+/** Of the seeds, those that draw a leader and its heir who both think that they lead. */
+const DIVIDED_SHARE = 0.3;
+
+/**
+ * One controller loses the state service and goes on answering until it has to be silent; the word of whoever takes its
+ * part comes late, or not at all; machines look round in between, jobs are cancelled, and some then hear nobody.
+ * Three independent draws hardly ever meet so: what broke there before was found by reading alone.
+ */
+function divided(luck: Luck, at: number): PlannedFault[] {
+  const old = luck.of(NODES);
+  const found: [after: number, raw: Record<string, unknown>][] = [
+    [
+      0,
+      luck.of([
+        { kind: "refuse", target: old, by: "state", for: luck.between(30, 60) },
+        { kind: "cut", target: old, from: "state", for: luck.between(30, 60) },
+      ]),
+    ],
+  ];
+  const heardBy = luck.between(12, 26);
+  for (const target of NODES)
+    if (target !== old)
+      found.push([luck.between(0, 4), { kind: "delay", target, to: "workers", ms: luck.whole(4200, 9000), for: heardBy }]);
+  if (luck.whole(0, 9) < 7)
+    found.push([luck.between(3, 14), { kind: "delay", target: old, to: "workers", ms: 4500, for: luck.between(0.5, 3) }]);
+  if (luck.whole(0, 9) < 7) found.push([luck.between(0, 2), { kind: "cancel-now", count: luck.whole(2, 8), hang: luck.of([0, 0, 12]) }]);
+  if (luck.whole(0, 9) < 6)
+    found.push([luck.between(18, 32), { kind: "deaf", target: "busiest", count: luck.whole(3, 12), for: luck.between(20, 35) }]);
+  return found.map(([after, raw]) => ({ at: at + after, fault: read(raw) }));
+}
+
 /** Machines are up by then, and the first work runs. */
 const WARM_S = 12;
 
-function trouble(luck: Luck): PlannedFault["fault"] {
-  const asked = luck.of(TROUBLES)(luck);
-  const decoded = decodeFault(asked);
-  if ("wrong" in decoded) throw new Error(`${JSON.stringify(asked)}: ${decoded.wrong}`);
+function read(raw: Record<string, unknown>): PlannedFault["fault"] {
+  const decoded = decodeFault(raw);
+  if ("wrong" in decoded) throw new Error(`${JSON.stringify(raw)}: ${decoded.wrong}`);
   return decoded.fault;
 }
 
+const trouble = (luck: Luck): PlannedFault["fault"] => read(luck.of(TROUBLES)(luck));
+
 /** The plan with drawn troubles instead of its own; the same seed draws the same. */
 export function drawnPlan(base: RehearsalPlan, seed: number): RehearsalPlan {
   const luck = new Luck(seeded(seed));
+  const name = `${base.name}, drawn ${seed}`;
+  if (luck.between(0, 1) < DIVIDED_SHARE)
+    return { ...base, name, fault: divided(luck, luck.between(WARM_S, Math.max(WARM_S, base.seconds * 0.5))) };
   const first = trouble(luck);
   const at = luck.between(WARM_S, Math.max(WARM_S, base.seconds * 0.6));
   const fault: PlannedFault[] = [{ at, fault: first }];
@@ -118,5 +154,5 @@
     else if (place === 1) fault.push({ at: at + Math.max(0, lastsS + luck.between(-1, 1)), fault: second });
     else fault.push({ moment: luck.of(MOMENTS), after: at, fault: second });
   }
-  return { ...base, name: `${base.name}, drawn ${seed}`, fault };
+  return { ...base, name, fault };
 }
