A session that is known from the reply to a command alone is a lease of its own; a machine that reaches nobody gets no new work

Cause: a leader held what ran on a machine for gone a lease after the last answer that may have renewed it. A machine that reaches no controller begins new sessions by itself; its reply to a direct command told so, work was started in the new session by direct commands, and held for gone most of a lease too early.

--- a/src/parts/holdings.ts
+++ b/src/parts/holdings.ts
@@ -125,6 +125,7 @@
       fresh.fenced = !fresh.up;
       // The former leader may go on answering until it has to fall silent.
       fresh.answeredAt = fresh.up ? this.led.now + this.led.settings.timing.silentAfterMs : -Infinity;
+      if (fresh.up) fresh.reportedAt = this.led.now;
       fresh.books = part.usage;
       part.machines.set(host, fresh);
     }
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -127,6 +127,7 @@
       part.since += ms;
       for (const machine of part.machines.values()) {
         machine.heardAt += ms;
+        machine.reportedAt += ms;
         machine.hiredAt += ms;
         machine.idleSince += ms;
         for (const placement of machine.placements.values()) placement.timed = false;
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -26,7 +26,11 @@
   session: number;
   seq: number;
   token: number;
+  /** Its newest word came then, be it a report or the body of an answer to us. */
   heardAt: number;
+  /** It last reached us by itself then; until it has, when we took its part: only reports renew its lease. */
+  reportedAt: number;
+  /** Until then its lease may have been renewed, or begun anew. */
   answeredAt: number;
   /** Its lease ran out, as far as we can prove. */
   lost: boolean;
@@ -76,6 +80,7 @@
     seq: 0,
     token: 0,
     heardAt: -Infinity,
+    reportedAt: -Infinity,
     answeredAt: -Infinity,
     lost: false,
     noticeAt: null,
@@ -132,7 +137,7 @@
   return { cpus: capacity.cpus - used.cpus, gpus: capacity.gpus - used.gpus, ram: capacity.ram - used.ram };
 }
 
-/** May new work go there now? */
+/** May new work go there now? Not if it answers us and reaches nobody: its lease ends, and all that was started with it. */
 export function usable(machine: Machine, now: number, silentMs: number): boolean {
   return (
     machine.up &&
@@ -142,6 +147,7 @@
     !machine.draining &&
     machine.noticeAt === null &&
     machine.avoidUntil <= now &&
-    now - machine.heardAt < silentMs
+    now - machine.heardAt < silentMs &&
+    now - machine.reportedAt < silentMs
   );
 }
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -174,6 +174,10 @@
     if (machine.session > 0) dropAll(machine, context.now, findings);
     machine.held.clear();
     machine.session = report.session;
+    // A session is a lease of its own, whoever answers: it began by now at the latest, and what is started in it by direct
+    // commands lives until it ends. Counted from the last answer alone, a machine that reaches no controller, and whose new
+    // session we know from its reply to a command, seemed to have lost what ran there for most of a lease more.
+    machine.answeredAt = Math.max(machine.answeredAt, context.now);
     findings.changed = true;
   }
   machine.seq = report.seq;
@@ -181,6 +185,7 @@
   machine.addr = report.addr;
   if (machine.heardAt === -Infinity || machine.lost) findings.changed = true;
   machine.heardAt = context.now;
+  if (context.viaReport) machine.reportedAt = context.now;
   machine.lost = false;
   if (report.token >= part.term && !machine.fenced) {
     machine.fenced = true;
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -11,7 +11,8 @@
 import { runPass } from "../src/queue/pass.js";
 import { spawnController } from "../src/rehearsal/spawn.js";
 import type { Report, ReportedTask } from "@thorntrail/protocol/worker";
-import { newFindings, ordersFor, takeReport, type ReportContext } from "../src/workers/reports.js";
+import { usable } from "../src/workers/machine.js";
+import { leaseOver, newFindings, noteAnswer, ordersFor, takeReport, type ReportContext } from "../src/workers/reports.js";
 import { exploreLeases, type Wrong } from "./world/lease-model.js";
 import { NOW, partOf, pass, queueUp, specOf } from "./world/parts.js";
 import { playScenario } from "./world/scenario.js";
@@ -181,6 +182,40 @@
   assert.deepEqual([machine.placements.size, machine.used.cpus, unit.waiting.length], [0, 0, 1]);
 });
 
+test("a session that is known from the reply to a command alone is a lease of its own, and its machine gets no new work", () => {
+  // What is guarded against: a machine that reaches no controller was counted as lost a lease after its last answer, while
+  // what had been started in its next session, which it told us in a reply, ran on; all of that was started elsewhere.
+  const { part, unit, machine, piece, hear } = startedUnheard();
+  const leaseMs = 18_000;
+  hear(2);
+  noteAnswer(machine, true, NOW);
+  const reply = (session: number, seq: number, now: number, tasks: ReportedTask[]): void => {
+    const report = {
+      host: machine.host,
+      addr: "x",
+      type: "m",
+      zone: "a",
+      spot: false,
+      session,
+      seq,
+      token: part.term,
+      noticeS: null,
+      tasks,
+    };
+    const at = { ...context, now, viaReport: false, unitOf: () => ({ unit, task: 0 }) };
+    takeReport(part, machine, report, at, newFindings());
+  };
+  const running: ReportedTask = { piece, attempt: part.term, state: "running", cause: null, saved: false };
+  const learnt = NOW + leaseMs - 500;
+  reply(2, 9, learnt, []);
+  reply(2, 10, learnt + 200, [running]);
+  assert.equal(machine.placements.size, 1);
+  assert.equal(leaseOver(machine, NOW + leaseMs + 700, leaseMs), false, "what runs in session 2 lives as long as that");
+  assert.equal(leaseOver(machine, learnt + leaseMs - 1, leaseMs), false);
+  assert.equal(leaseOver(machine, learnt + leaseMs + 1, leaseMs), true, "replies renew nothing");
+  assert.equal(usable(machine, learnt + 300, 5000), false, "it has not reported for long, whatever it replies");
+});
+
 const base = await loadPlan("deploy/meetings.hcl");
 
 test("no answer renews the lease of a machine without stopping what it runs of a job that is known to be over", async () => {
@@ -229,6 +264,7 @@
   assert.ok(states > 2000, `${states} states`);
   for (const [wrong, what] of [
     [{ answerCutsShort: true }, /elsewhere/],
+    [{ sessionIsNoLease: true }, /elsewhere/],
     [{ noSilence: true }, /elsewhere/],
     [{ oldIsNews: true }, /elsewhere|still there/],
     [{ silentLate: true }, /elsewhere|still there/],
