--- a/scripts/vary-work.mjs
+++ b/scripts/vary-work.mjs
@@ -5,7 +5,9 @@
 
 const [input, output, ...rest] = process.argv.slice(2);
 const asked = Object.fromEntries(rest.map((one) => one.split("=")));
-const unknown = Object.keys(asked).filter((key) => !["run", "cancelled", "rate", "limits", "tasks", "each"].includes(key) || !(Number(asked[key]) >= 0));
+const unknown = Object.keys(asked).filter(
+  (key) => !["run", "cancelled", "rate", "limits", "tasks", "each"].includes(key) || !(Number(asked[key]) >= 0),
+);
 if (output === undefined || unknown.length > 0) {
   console.error(
     `usage: vary-work.mjs IN.toml OUT.toml [run=N] [cancelled=SHARE] [rate=N] [limits=N] [tasks=N] [each=N]${unknown.map((key) => `; not ${key}=${asked[key]}`)}`,
