--- a/packages/emulator/src/drawn.ts
+++ b/packages/emulator/src/drawn.ts
@@ -113,14 +113,24 @@
       ]),
     ],
   ];
-  const heardBy = luck.between(12, 26);
-  for (const target of NODES)
-    if (target !== old)
-      found.push([luck.between(0, 4), { kind: "delay", target, to: "workers", ms: luck.whole(4200, 9000), for: heardBy }]);
-  if (luck.whole(0, 9) < 7)
-    found.push([luck.between(3, 14), { kind: "delay", target: old, to: "workers", ms: 4500, for: luck.between(0.5, 3) }]);
-  if (luck.whole(0, 9) < 7) found.push([luck.between(0, 2), { kind: "cancel-now", count: luck.whole(2, 8), hang: luck.of([0, 0, 12]) }]);
-  if (luck.whole(0, 9) < 6)
+  // Half of the time the whole chain: unheard throughout, looked round for, and neither heard nor deleted after it.
+  const whole = luck.of([true, false]);
+  const may = (share: number): boolean => whole || luck.between(0, 1) < share;
+  const others = NODES.filter((name) => name !== old);
+  const unheardFor = luck.between(12, 26);
+  for (const target of others) {
+    const ms = whole ? luck.whole(15_000, 40_000) : luck.of([luck.whole(4200, 9000), luck.whole(15_000, 40_000)]);
+    found.push([luck.between(0, 4), { kind: "delay", target, to: "workers", ms, for: unheardFor }]);
+  }
+  if (may(0.7)) found.push([luck.between(4, 9), { kind: "delay", target: old, to: "workers", ms: 4500, for: luck.between(1, 4) }]);
+  if (may(0.5)) {
+    const after = luck.between(13, 19);
+    for (const target of others) found.push([after, { kind: "cut", target, from: "workers", for: luck.between(35, 60) }]);
+  }
+  if (may(0.6)) found.push([luck.between(5, 14), { kind: "outage", of: "cloud", for: luck.between(30, 55) }]);
+  if (luck.between(0, 1) < 0.7)
+    found.push([luck.between(0, 2), { kind: "cancel-now", count: luck.whole(2, 8), hang: luck.of([0, 0, 12]) }]);
+  if (luck.between(0, 1) < 0.6)
     found.push([luck.between(18, 32), { kind: "deaf", target: "busiest", count: luck.whole(3, 12), for: luck.between(20, 35) }]);
   return found.map(([after, raw]) => ({ at: at + after, fault: read(raw) }));
 }
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -31,7 +31,7 @@
     kind: z.literal("delay"),
     target: node,
     to: z.enum(["state", "cloud", "workers"]),
-    ms: z.number().min(1).max(10_000),
+    ms: z.number().min(1).max(60_000),
     ...lasting,
   }),
   /** So many requests are executed, and their answers lost. */
