--- a/packages/emulator/src/drawn.ts
+++ b/packages/emulator/src/drawn.ts
@@ -122,9 +122,10 @@
     const ms = whole ? luck.whole(15_000, 40_000) : luck.of([luck.whole(4200, 9000), luck.whole(15_000, 40_000)]);
     found.push([luck.between(0, 4), { kind: "delay", target, to: "workers", ms, for: unheardFor }]);
   }
-  if (may(0.7)) found.push([luck.between(4, 9), { kind: "delay", target: old, to: "workers", ms: 4500, for: luck.between(1, 4) }]);
+  if (may(0.7))
+    found.push([luck.between(4, 7), { kind: "delay", target: old, to: "workers", ms: 4500, for: luck.between(whole ? 3.5 : 0.5, 5) }]);
   if (may(0.5)) {
-    const after = luck.between(13, 19);
+    const after = luck.between(16, 20);
     for (const target of others) found.push([after, { kind: "cut", target, from: "workers", for: luck.between(35, 60) }]);
   }
   if (may(0.6)) found.push([luck.between(5, 14), { kind: "outage", of: "cloud", for: luck.between(30, 55) }]);
