--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -165,6 +165,12 @@
     }
     throw new Error(`${step.line}: nobody leads ${ref}`);
   };
+  /** Machines that are met; a line that meets none says nothing of what it is there for. */
+  const met = (word: string): string[] => {
+    const hosts = hostsOf(world, word.replace("hosts-of:", ""));
+    if (hosts.length === 0) failures.push(`${step.line}: met nobody`);
+    return hosts;
+  };
   const nodeNamed = (word: string): string => (word.startsWith("leader-of:") ? leaderOf(word.slice("leader-of:".length)) : word);
   switch (verb) {
     case "submit": {
@@ -192,18 +198,17 @@
       const forMs = Number(step.words[step.words.indexOf("for") + 1]) * 1000;
       const others: Record<string, string> = { state: "state", cloud: "cloud", workers: "workers", peers: "controllers", all: "*" };
       const other = others[c] ?? nodeNamed(c);
-      const sides = a.startsWith("hosts-of:") ? hostsOf(world, a.slice("hosts-of:".length)) : [node];
+      const sides = a.startsWith("hosts-of:") || a.startsWith("zone:") ? met(a) : [node];
       for (const side of sides) world.clock.after(forMs, world.links.add({ from: side, to: other, effect: { kind: "cut" } }));
       return;
     }
     case "deafen":
       // deafen X for N: what its machines report arrives; answers and direct commands to them are lost.
-      for (const to of hostsOf(world, a.replace("hosts-of:", "")))
-        world.clock.after(Number(c) * 1000, world.links.add({ from: "*", to, effect: { kind: "lose" } }));
+      for (const to of met(a)) world.clock.after(Number(c) * 1000, world.links.add({ from: "*", to, effect: { kind: "lose" } }));
       return;
     case "mute":
       // mute X for N: what its machines report is lost; direct commands reach them, and are answered.
-      for (const from of hostsOf(world, a.replace("hosts-of:", "")))
+      for (const from of met(a))
         world.clock.after(Number(c) * 1000, world.links.add({ from, to: "*", what: "report", effect: { kind: "lose" } }));
       return;
     case "fault": {
@@ -311,7 +316,7 @@
       return;
     }
     case "hang":
-      for (const host of hostsOf(world, a).slice(0, 1)) {
+      for (const host of met(a).slice(0, 1)) {
         const worker = world.workers.get(host)!;
         worker.hanging = true;
         world.clock.after(Number(c) * 1000, () => (worker.hanging = false));
