--- a/packages/emulator/src/checker.ts
+++ b/packages/emulator/src/checker.ts
@@ -1,17 +1,20 @@
 import type { JobSpec } from "@thorntrail/protocol/jobs";
 
+export type Told = "accepted" | "queued" | "running" | "done" | "withdrawn" | "unknown" | "refused";
+
+/** What an answer to a submission, poll or cancellation tells of the job; null: nothing, its user asks again. */
+export function toldBy(status: number, body: Record<string, unknown>): Told | null {
+  if (status === 200 || status === 201) return (body["status"] as Told | undefined) ?? "queued";
+  if (status === 404) return "unknown";
+  return status === 400 || status === 422 ? "refused" : null;
+}
+
 /** What happened, as seen from outside the controllers. */
 export type Happening =
   /** `never`: why it must not be accepted. */
   | { at: number; kind: "submitted"; spec: JobSpec; never?: string }
   /** An answer that came at `at`; `asked`: when its question was sent, of a poll, a submission or a cancellation alike. */
-  | {
-      at: number;
-      kind: "told";
-      ref: string;
-      what: "accepted" | "queued" | "running" | "done" | "withdrawn" | "unknown" | "refused";
-      asked?: number;
-    }
+  | { at: number; kind: "told"; ref: string; what: Told; asked?: number }
   | { at: number; kind: "asked-cancel"; ref: string }
   /** A poll that was answered neither 200 nor 404. */
   | { at: number; kind: "unanswered"; ref: string }
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -197,6 +197,11 @@
     for (const name of names) act(name);
     return names;
   };
+  const hang = (names: string[], seconds: number): string[] =>
+    each(names, (name) => {
+      stage.hang(name, true);
+      until(seconds, () => stage.hang(name, false));
+    });
   switch (fault.kind) {
     case "restart":
       return each(controllersOf(stage, fault.target), (name) => stage.restart(name, fault.for * 1000));
@@ -252,10 +257,7 @@
     case "fail":
       return each(machinesOf(stage, fault.target), (name) => stage.fail(name));
     case "hang":
-      return each(machinesOf(stage, fault.target), (name) => {
-        stage.hang(name, true);
-        until(fault.for, () => stage.hang(name, false));
-      });
+      return hang(machinesOf(stage, fault.target), fault.for);
     case "slow":
       return each(machinesOf(stage, fault.target), (name) => stage.slow(name, fault.factor));
     case "sick":
@@ -290,11 +292,7 @@
     }
     case "cancel-now": {
       const { refs, hosts } = crowd.cancelNow(fault.count);
-      if (fault.hang > 0)
-        for (const host of hosts.slice(0, MOST_HANGING)) {
-          stage.hang(host, true);
-          until(fault.hang, () => stage.hang(host, false));
-        }
+      if (fault.hang > 0) hang(hosts.slice(0, MOST_HANGING), fault.hang);
       return refs;
     }
     case "cancel-at-end":
--- a/packages/emulator/src/links.ts
+++ b/packages/emulator/src/links.ts
@@ -129,9 +129,9 @@
   }
 
   /** A copy of it is kept for the next controller that takes a part. */
-  keeps(call: Call, luck: () => number): boolean {
+  keeps(call: Call): boolean {
     const effect = this.find(call, ({ kind }) => kind === "keep")?.effect;
-    return effect?.kind === "keep" && luck() < effect.share;
+    return effect?.kind === "keep" && this.luck() < effect.share;
   }
 
   /** What becomes of the call once it has arrived; counts against rules that meet so many. */
--- a/packages/emulator/src/real/users.ts
+++ b/packages/emulator/src/real/users.ts
@@ -1,5 +1,5 @@
 import { encodeJob, type JobSpec } from "@thorntrail/protocol/jobs";
-import type { Happening } from "../checker.js";
+import { toldBy, type Happening } from "../checker.js";
 import type { Planned } from "../plan.js";
 import { agentOf, ask, objectOf, type Raw } from "./http.js";
 
@@ -33,11 +33,8 @@
   /** `asked`: when the question was sent. */
   private hear(ref: string, asked: number, answer: Raw | null): void {
     if (answer === null) return;
-    const tell = (what: Extract<Happening, { kind: "told" }>["what"]): void =>
-      this.happened({ at: this.now(), kind: "told", ref, asked, what });
-    if (answer.status === 200 || answer.status === 201) tell((objectOf(answer.text)["status"] as "done" | undefined) ?? "queued");
-    else if (answer.status === 404) tell("unknown");
-    else if (answer.status === 400 || answer.status === 422) tell("refused");
+    const what = toldBy(answer.status, objectOf(answer.text));
+    if (what !== null) this.happened({ at: this.now(), kind: "told", ref, asked, what });
   }
 
   private async insist(path: string, ref: string, body: string | undefined, addr = this.addr): Promise<Raw | null> {
--- a/packages/emulator/src/virtual/world.ts
+++ b/packages/emulator/src/virtual/world.ts
@@ -6,7 +6,7 @@
 import type { CommandReply, Report, ReportAnswer, WorkerApi } from "@thorntrail/protocol/worker";
 import type { StoreLimits } from "@thorntrail/store/store";
 import { Subject } from "rxjs";
-import type { Happening, Limits } from "../checker.js";
+import { toldBy, type Happening, type Limits } from "../checker.js";
 import { HabitualUsers } from "../crowd.js";
 import { CloudModel, type CloudPlan } from "../cloud-model.js";
 import type { Seen } from "../conductor.js";
@@ -372,7 +372,7 @@
       report: (node, from, report) =>
         new Promise<ReportAnswer | null>((resolve) => {
           const call = { from, to: node, what: "report" };
-          if (this.links.keeps(call, this.luckOfFaults)) this.kept.push(report);
+          if (this.links.keeps(call)) this.kept.push(report);
           const againMs = this.links.againMs(call, this.random);
           // A copy finds whatever life the node has by then, and nobody waits for its answer.
           if (againMs !== null)
@@ -425,11 +425,8 @@
 
   /** `asked`: when the question was sent. */
   private told(ref: string, asked: number, status: number, body: Record<string, unknown>): void {
-    const tell = (what: Extract<Happening, { kind: "told" }>["what"]): void =>
-      this.happened({ at: this.clock.now(), kind: "told", ref, asked, what });
-    if (status === 201 || status === 200) tell((body["status"] as "done" | undefined) ?? "queued");
-    else if (status === 404) tell("unknown");
-    else if (status === 400 || status === 422) tell("refused");
+    const what = toldBy(status, body);
+    if (what !== null) this.happened({ at: this.clock.now(), kind: "told", ref, asked, what });
   }
 
   /** False: it was refused, or given up. `never`: why it must not be accepted. */
--- a/packages/emulator/test/crowd.test.ts
+++ b/packages/emulator/test/crowd.test.ts
@@ -164,12 +164,9 @@
 
   strike({ kind: "late-reports", share: 1, for_next: true, for: 5 });
   const report = { from: "i-1", to: "nest-0", what: "report" };
-  assert.deepEqual([links.keeps(report, () => 0.5), links.againMs(report, () => 0.5)], [true, null]);
+  assert.deepEqual([links.keeps(report), links.againMs(report, () => 0.5)], [true, null]);
   await clock.run(23_000);
-  assert.equal(
-    links.keeps(report, () => 0.5),
-    false,
-  );
+  assert.equal(links.keeps(report), false);
 
   assert.equal(strike({ kind: "cancel-now", count: 3, hang: 4 }).length, 3);
   assert.equal(hanging.size, 8, "no more than eight machines hang");
