Rename: quota shares and quota transfers for allotments and cessions

The classes, their files, the objects that hold them and the log line; durable fields, keys, the rehearsal vocabulary and the wire stay.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,5 +1,5 @@
 import { randomBytes } from "node:crypto";
-import { Allotments } from "./parts/allotments.js";
+import { QuotaShares } from "./parts/quota-shares.js";
 import { Fitness } from "./parts/fitness.js";
 import { Guarantees } from "./parts/guarantees.js";
 import { Leader } from "./parts/leader.js";
@@ -52,7 +52,7 @@
   readonly detector: Detector;
   readonly ownership: Ownership;
   readonly fitness: Fitness;
-  readonly allotments: Allotments;
+  readonly quotaShares: QuotaShares;
   readonly guarantees: Guarantees;
   readonly leader: Leader;
   readonly dispatch: Dispatch;
@@ -134,7 +134,7 @@
       taken: (part, term, reason, silentMs) => this.leader.recovery.claimed(part, term, reason, silentMs),
       reaches: (part) => this.fitness.reaches(part),
     });
-    this.allotments = new Allotments(settings, this.mirror, this.committer, scope);
+    this.quotaShares = new QuotaShares(settings, this.mirror, this.committer, scope);
     this.guarantees = new Guarantees(settings, this.mirror, this.needs, scope);
     this.leader = new Leader(
       settings,
@@ -143,7 +143,7 @@
       this.rentals,
       this.needs,
       this.committer,
-      this.allotments,
+      this.quotaShares,
       this.guarantees,
       this.overload,
       scope,
@@ -151,13 +151,13 @@
     const probes = workersThrough(around.workers, calls.of("worker.probe"));
     this.fitness = new Fitness(settings, this.leader.parts, this.rentals, probes, () => this.hasState(), scope);
     this.dispatch = new Dispatch(this.leader, around.workers, calls, scope);
-    const { leader, ownership, allotments, mirror, rentals, needs, committer } = this;
+    const { leader, ownership, quotaShares, mirror, rentals, needs, committer } = this;
     const { peers } = around;
     this.fleet = new Fleet({
       settings,
       cloud: cloudThrough(around.cloud, calls),
       leader,
-      allotments,
+      quotaShares,
       mirror,
       rentals,
       committer,
@@ -168,7 +168,7 @@
       scope,
     });
     const { overload } = this;
-    this.exchange = new Exchange({ settings, life, leader, ownership, allotments, mirror, needs, committer, peers, overload, scope });
+    this.exchange = new Exchange({ settings, life, leader, ownership, quotaShares, mirror, needs, committer, peers, overload, scope });
     const submissions = new Submissions({ settings, leader, ownership, mirror, rentals, needs, committer, scope });
     this.jobs = new Jobs(settings, leader, mirror, needs, submissions, committer, overload, scope);
     this.relay = new Relay(settings, this.jobs, around.peers, () => this.peersHavingState(), scope, life);
@@ -189,7 +189,7 @@
     this.presence.start();
     this.detector.start();
     this.ownership.start();
-    this.allotments.start();
+    this.quotaShares.start();
     this.guarantees.start();
     this.fleet.start();
     this.exchange.start();
--- a/src/exchange/around.ts
+++ b/src/exchange/around.ts
@@ -1,6 +1,6 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import type { Allotments } from "../parts/allotments.js";
+import type { QuotaShares } from "../parts/quota-shares.js";
 import type { Leader } from "../parts/leader.js";
 import type { Ownership } from "../parts/ownership.js";
 import { usageOf, type Part, type Usage } from "../parts/part.js";
@@ -18,7 +18,7 @@
   life: string;
   leader: Leader;
   ownership: Ownership;
-  allotments: Allotments;
+  quotaShares: QuotaShares;
   mirror: Mirror;
   needs: Needs;
   committer: Committer;
@@ -51,8 +51,8 @@
 }
 
 /** Of the team's allotment in the part, what nothing uses. */
-export function spareOf({ allotments }: ExchangeAround, part: Part, team: string): Usage {
-  const held = allotments.held(part.id, team);
+export function spareOf({ quotaShares }: ExchangeAround, part: Part, team: string): Usage {
+  const held = quotaShares.held(part.id, team);
   const used = usageOf(part, team);
   return { cpus: held.cpus - used.cpus, gpus: held.gpus - used.gpus };
 }
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -1,6 +1,6 @@
 import { tuningOf, estimateContext, ownerOf, type ExchangeAround } from "./around.js";
 import { Answers } from "./answers.js";
-import { Cessions } from "./cessions.js";
+import { QuotaTransfers } from "./quota-transfers.js";
 import { best, roomiest, type Bid } from "./choice.js";
 import { Moving } from "./moving.js";
 import { Volunteers } from "./volunteers.js";
@@ -32,7 +32,7 @@
   private readonly volunteers: Volunteers;
   private readonly answers: Answers;
   private readonly moving: Moving;
-  private readonly cessions: Cessions;
+  private readonly quotaTransfers: QuotaTransfers;
   private readonly asked = new Map<string, number>();
   private asking: Asking | null = null;
   private lastId: number;
@@ -43,7 +43,7 @@
     this.volunteers = new Volunteers(around);
     this.answers = new Answers(around);
     this.moving = new Moving(around, (unit) => this.asked.delete(unit.key));
-    this.cessions = new Cessions(around);
+    this.quotaTransfers = new QuotaTransfers(around);
   }
 
   estimateContext(): EstimateContext {
@@ -56,9 +56,9 @@
       if ("Volunteer" in message) this.volunteers.hear(message.Volunteer);
       else if ("Query" in message) this.answers.onQuery(message.Query);
       else if ("Answer" in message) this.onAnswer(message.Answer);
-      else if ("Want" in message) this.cessions.onWant(message.Want);
+      else if ("Want" in message) this.quotaTransfers.onWant(message.Want);
     });
-    this.cessions.start();
+    this.quotaTransfers.start();
     this.volunteers.start();
     scope.routine(
       "exchange",
--- a/src/exchange/cessions.ts
+++ b/src/exchange/quota-transfers.ts
@@ -4,7 +4,7 @@
 import { ownerOf, spareOf, type ExchangeAround } from "./around.js";
 
 /** Parts short of a team's allotment ask; those that can spare some cede it. */
-export class Cessions {
+export class QuotaTransfers {
   private readonly wanted = new Map<string, number>();
 
   constructor(private readonly around: ExchangeAround) {}
@@ -43,7 +43,7 @@
         cpus: Math.max(free.cpus, Math.min(unused.cpus, want.nowCpus)),
         gpus: Math.max(free.gpus, Math.min(unused.gpus, want.nowGpus)),
       };
-      this.around.allotments.cede(part, want.part, want.team, want, spare);
+      this.around.quotaShares.cede(part, want.part, want.team, want, spare);
     }
   }
 }
--- a/src/fleet/around.ts
+++ b/src/fleet/around.ts
@@ -4,7 +4,7 @@
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
 import type { Rentals } from "../ledger/rentals.js";
-import type { Allotments } from "../parts/allotments.js";
+import type { QuotaShares } from "../parts/quota-shares.js";
 import type { Leader } from "../parts/leader.js";
 import type { Part } from "../parts/part.js";
 import type { Overload } from "../overload/overload.js";
@@ -18,7 +18,7 @@
   settings: Settings;
   cloud: CloudApi;
   leader: Leader;
-  allotments: Allotments;
+  quotaShares: QuotaShares;
   mirror: Mirror;
   rentals: Rentals;
   committer: Committer;
--- a/src/fleet/renting.ts
+++ b/src/fleet/renting.ts
@@ -73,7 +73,7 @@
       order: this.around.leader.order(),
       types: this.around.leader.types,
       open: (offer) => this.offers.open(offer),
-      allotment: (team) => this.around.allotments.held(part.id, team),
+      allotment: (team) => this.around.quotaShares.held(part.id, team),
       soonMs: this.soonMs(),
       leftMs: ({ unit, runningAt }) => {
         const { history } = this.around.leader;
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -14,7 +14,7 @@
 import { Shares } from "../served/shares.js";
 import type { Settings } from "../settings/derived.js";
 import type { Machine } from "../workers/machine.js";
-import type { Allotments } from "./allotments.js";
+import type { QuotaShares } from "./quota-shares.js";
 import { CameUp } from "./came-up.js";
 import { Consequences } from "./consequences.js";
 import type { Guarantees, TeamUse } from "./guarantees.js";
@@ -57,7 +57,7 @@
     rentals: Rentals,
     needs: Needs,
     committer: Committer,
-    private readonly allotments: Allotments,
+    private readonly quotaShares: QuotaShares,
     readonly guarantees: Guarantees,
     overload: Overload,
     readonly scope: Scope,
@@ -67,7 +67,7 @@
     const consequences = new Consequences(this, progress, this.recovery);
     this.watch = new Watch(this, progress, consequences, this.recovery);
     this.shares = new Shares(settings, mirror, scope);
-    this.placing = new Placing(this, allotments, guarantees, overload, this.shares);
+    this.placing = new Placing(this, quotaShares, guarantees, overload, this.shares);
     const cameUp = new CameUp(this, mirror, rentals, committer);
     this.reports = new ReportDesk(this, mirror, rentals, progress, cameUp, consequences, this.watch);
     this.holdings = new Holdings(this, life, mirror, rentals, needs, progress, consequences, this.watch);
@@ -80,7 +80,7 @@
       "summary",
       () => this.settings.operators.exchange.sigma * 1000,
       () => {
-        for (const part of this.parts.values()) summarize(this, this.allotments, part);
+        for (const part of this.parts.values()) summarize(this, this.quotaShares, part);
       },
     );
     this.scope.routine(
--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -6,7 +6,7 @@
 import { aimS } from "../settings/derived.js";
 import type { Shares } from "../served/shares.js";
 import type { Machine } from "../workers/machine.js";
-import type { Allotments } from "./allotments.js";
+import type { QuotaShares } from "./quota-shares.js";
 import type { Guarantees, TeamUse } from "./guarantees.js";
 import type { Led } from "./led.js";
 
@@ -35,7 +35,7 @@
 
   constructor(
     private readonly led: Led,
-    private readonly allotments: Allotments,
+    private readonly quotaShares: QuotaShares,
     private readonly guarantees: Guarantees,
     private readonly overload: Overload,
     private readonly shares: Shares,
@@ -119,7 +119,7 @@
         silentMs: this.led.settings.timing.silentMs,
         order,
         backfill,
-        allotment: (team: string) => this.allotments.held(part.id, team),
+        allotment: (team: string) => this.quotaShares.held(part.id, team),
         expectS: (unit: Unit) => this.led.history.expectS(unit.spec),
         leftS: (unit: Unit, ranS: number) => this.led.history.leftS(unit.spec, ranS),
         bootMs: (machine: Machine) => this.bootMs(machine),
--- a/src/parts/allotments.ts
+++ b/src/parts/quota-shares.ts
@@ -17,7 +17,7 @@
  * own share smaller, and only by what it does not use, so that the sum of what
  * all parts run never passes the limit, whoever is cut off from whom.
  */
-export class Allotments {
+export class QuotaShares {
   /** Ceded, but the transaction has not been answered for certain. */
   private readonly ceding = new Map<string, Usage>();
 
@@ -85,7 +85,7 @@
     };
     void this.committer.commit("cede", draft).then((outcome) => {
       this.ceding.delete(label);
-      if (outcome === "done") this.scope.log.info({ part: part.id, to, team, ...give }, "allotment ceded");
+      if (outcome === "done") this.scope.log.info({ part: part.id, to, team, ...give }, "quota transferred");
     });
   }
 }
--- a/src/parts/summary.ts
+++ b/src/parts/summary.ts
@@ -1,9 +1,9 @@
-import type { Allotments } from "./allotments.js";
+import type { QuotaShares } from "./quota-shares.js";
 import type { Led } from "./led.js";
 import { usageByTeam, type Part } from "./part.js";
 
 /** One line a part, enough to see from logs alone where work waits and room lies idle. */
-export function summarize(led: Led, allotments: Allotments, part: Part): void {
+export function summarize(led: Led, quotaShares: QuotaShares, part: Part): void {
   const types: Record<string, string> = {};
   for (const machine of part.machines.values()) {
     const name = `${machine.type}${machine.spot ? "/spot" : ""}`;
@@ -16,7 +16,7 @@
   const used = Object.fromEntries([...usageByTeam(part)].map(([team, u]) => [team, `${Math.round(u.cpus)}c ${Math.round(u.gpus)}g`]));
   const held = Object.fromEntries(
     led.settings.platform.deployment.teams.map(({ name }) => {
-      const h = allotments.held(part.id, name);
+      const h = quotaShares.held(part.id, name);
       return [name, `${Number.isFinite(h.cpus) ? Math.round(h.cpus) : "-"}c ${Number.isFinite(h.gpus) ? Math.round(h.gpus) : "-"}g`];
     }),
   );
