--- a/measure/memory.ts
+++ b/measure/memory.ts
@@ -53,7 +53,8 @@
   return { spec: specOf(i), part: i % 2, hi: 30, done: end ? "/////w==" : "", at: 1.7e12 + i, ...(end ? { end: "done" } : {}) };
 }
 
-function mirrorHere(): Mirror {
+/** A replica of the state that follows nothing. */
+export function mirrorHere(): Mirror {
   const clock = new VirtualClock();
   const client = new VirtualState(clock, () => 5, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 }).client("n", (fn) => fn());
   const mirror = new Mirror(client, clock, new Rate(clock, 1000), { readGapMs: 0, blockMs: 1000 }, callsFor(clock).of("state.read"));
--- a/packages/emulator/src/real/processes.ts
+++ b/packages/emulator/src/real/processes.ts
@@ -57,6 +57,11 @@
     });
   }
 
+  /** Undefined: it does not run. */
+  pid(name: string): number | undefined {
+    return this.running.get(name)?.pid;
+  }
+
   /** Stands still, and goes on. */
   freeze(name: string, on: boolean): void {
     this.running.get(name)?.kill(on ? "SIGSTOP" : "SIGCONT");
--- a/packages/emulator/src/real/worker-host.ts
+++ b/packages/emulator/src/real/worker-host.ts
@@ -24,6 +24,15 @@
   return /\(([^()]+)\)/.exec(req.headers["user-agent"] ?? "")?.[1] ?? "controllers";
 }
 
+type GangMember = ReturnType<WorkerWorld["mates"]>[number];
+
+const gangKey = (ref: string, attempt: number): string => `${ref}#${attempt}`;
+
+/** Its machine has not been told to forget it, and is there. */
+function isKnown({ worker, task }: GangMember): boolean {
+  return worker.tasks.get(`${task.piece}#${task.attempt}`) === task;
+}
+
 /** The emulated workers' sockets: a listener for each machine, reports to the controllers' front doors. */
 export class WorkerHost {
   readonly workers = new Map<string, Worker>();
@@ -31,6 +40,8 @@
   private readonly agent = agentOf(2000);
   readonly stats = { reports: 0, unanswered: 0, late: 0 };
   private readonly reportedAt = new Map<string, number>();
+  /** Members of gangs that have had their image, by attempt: asked for ten times a second by each of them. */
+  private readonly gangs = new Map<string, GangMember[]>();
 
   constructor(
     private readonly links: Links,
@@ -54,18 +65,46 @@
     const worker = new Worker(host, offer, room, {
       ...this.world,
       report: (node, from, report) => this.report(node, from, report),
-      mates: (ref, attempt) => this.mates(ref, attempt),
+      mates: (ref, attempt) => this.members(ref, attempt),
+      on: (on, piece) => {
+        this.join(on, piece);
+        this.world.on(on, piece);
+      },
     });
     worker.addr = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     this.workers.set(host, worker);
     return worker.addr;
   }
 
-  private mates(ref: string, attempt: number): ReturnType<WorkerWorld["mates"]> {
-    const found: ReturnType<WorkerWorld["mates"]> = [];
-    for (const worker of this.workers.values())
-      for (const task of worker.tasks.values()) if (task.attempt === attempt && task.ref === ref) found.push({ worker, task });
-    return found;
+  private join(worker: Worker, piece: string): void {
+    for (const task of worker.tasks.values()) {
+      if (task.piece !== piece || task.state === "exited") continue;
+      if (this.world.spec(task.ref)?.kind !== "gang") return;
+      const key = gangKey(task.ref, task.attempt);
+      const members = this.gangs.get(key);
+      if (members !== undefined) members.push({ worker, task });
+      else {
+        this.forgetGangs();
+        this.gangs.set(key, [{ worker, task }]);
+      }
+    }
+  }
+
+  /** Gangs that nobody asks for any more. */
+  private forgetGangs(): void {
+    for (const [key, members] of this.gangs) if (!members.some(isKnown)) this.gangs.delete(key);
+  }
+
+  /** Those still known to their machines. */
+  private members(ref: string, attempt: number): GangMember[] {
+    const key = gangKey(ref, attempt);
+    const members = this.gangs.get(key);
+    if (members === undefined) return [];
+    if (members.every(isKnown)) return members;
+    const left = members.filter(isKnown);
+    if (left.length === 0) this.gangs.delete(key);
+    else this.gangs.set(key, left);
+    return left;
   }
 
   private async report(node: string, host: string, report: Report): Promise<ReportAnswer | null> {
