Teams change while the service runs: versions in the state service, in force everywhere proven from records

A change is one conditional transaction under the next version; controllers follow it as other records, show the version they act by with their presence, and claims and acceptances are conditional on it. Shares of a lowered limit come down by their holders alone, and nothing is started while their sum is above it; a raised one is given out by one partition's owner. Lower limits are prepared before accepted jobs are looked at. thorntrail config get, set, history, wait.

--- a/src/commands.ts
+++ b/src/commands.ts
@@ -56,6 +56,32 @@
       else process.stdout.write(`${client.statusLines(view)}\n`);
     });
 
+  const config = program.command("config").description("teams that change while the service runs");
+  const configured = (name: string, what: string) =>
+    config
+      .command(name)
+      .description(what)
+      .requiredOption("--config <file>", "settings of any controller (TOML): where the state service is");
+  const configurationCli = () => import("./cli/configuration.js");
+  configured("get", "show the newest version and its teams").action(async (options: { config: string }) =>
+    print(await (await configurationCli()).getConfiguration(load(dir, options.config))),
+  );
+  configured("set", "change teams as a file (TOML) says: [[teams]] to add or to give other limits, remove = [names]")
+    .argument("<file>")
+    .action(async (file: string, options: { config: string }) =>
+      print(await (await configurationCli()).setConfiguration(load(dir, options.config), file)),
+    );
+  configured("history", "show what each version changed").action(async (options: { config: string }) => {
+    for (const one of await (await configurationCli()).configurationHistory(load(dir, options.config))) print(one);
+  });
+  configured("wait", "wait until a version is in force everywhere")
+    .argument("<version>", "as `set` printed it", (text: string) => wholeNumber(text))
+    .option("--within <seconds>", "give up after", (text: string) => wholeNumber(text), 30)
+    .action(async (version: number, options: { config: string; within: number }) => {
+      const say = (text: string): void => void process.stderr.write(`${text}\n`);
+      print(await (await configurationCli()).waitForConfiguration(load(dir, options.config), version, options.within * 1000, say));
+    });
+
   const store = program.command("store").description("the state service for one machine");
   const asked = (value: unknown, json: boolean | undefined): void =>
     void process.stdout.write(
--- /dev/null
+++ b/src/configuration/current.ts
@@ -0,0 +1,104 @@
+import type { Mirror } from "../ledger/mirror.js";
+import {
+  keys,
+  type ConfigurationRecord,
+  type OwnerRecord,
+  type PreparedChange,
+  type PresenceRecord,
+  type TeamRecord,
+} from "../ledger/records.js";
+import type { Scope } from "../platform/scope.js";
+import type { Settings } from "../settings/derived.js";
+import { isInForce, standingsOf } from "./in-force.js";
+import { teamsOf, type Team } from "./teams.js";
+
+/** The configuration that this controller acts by: the platform's file, and the changes recorded in the state service. */
+export class Configuration {
+  /** Made from the records when asked for, and again after any of them changed. */
+  private known: { teams: Team[]; byName: Map<string, Team> } | null = null;
+  /** When this controller first saw the newest version, in steady ms. */
+  private seen = { version: 0, at: -Infinity };
+  private inForceVersion = 0;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly mirror: Mirror,
+    private readonly scope: Scope,
+  ) {
+    scope.listen(mirror.changes$, (key) => this.note(key));
+  }
+
+  private note(key: string): void {
+    if (key !== "" && !key.startsWith(keys.configurationRoot)) return;
+    this.known = null;
+    if (this.version === this.seen.version) return;
+    this.seen = { version: this.version, at: this.scope.clock.now() };
+    this.scope.log.info({ version: this.version }, "configuration changed");
+  }
+
+  private get record(): ConfigurationRecord | undefined {
+    return this.mirror.get<ConfigurationRecord>(keys.configuration)?.v;
+  }
+
+  /** 0: nothing was ever changed. */
+  get version(): number {
+    return this.record?.version ?? 0;
+  }
+
+  /** The record's stamp, for conditions; 0: it is not there. */
+  get stamp(): number {
+    return this.mirror.stamp(keys.configuration);
+  }
+
+  /** A change that lowers limits and has not been decided yet. */
+  get prepared(): PreparedChange | undefined {
+    return this.record?.prepared;
+  }
+
+  private current(): NonNullable<Configuration["known"]> {
+    if (this.known !== null) return this.known;
+    const teams = teamsOf(this.settings.platform.deployment.teams, this.changed());
+    return (this.known = { teams, byName: new Map(teams.map((team) => [team.name, team])) });
+  }
+
+  /** What changes have written of teams. */
+  changed(): TeamRecord[] {
+    if (this.record === undefined) return [];
+    const rows = this.mirror.rows<TeamRecord>(keys.configurationRoot);
+    return [...rows].filter(([key]) => key.startsWith(keys.changedTeams)).map(([, { v }]) => v);
+  }
+
+  /** All teams, removed ones among them. */
+  get teams(): readonly Team[] {
+    return this.current().teams;
+  }
+
+  team(name: string): Team | undefined {
+    return this.current().byName.get(name);
+  }
+
+  /**
+   * Teams whose jobs are accepted. A removed team's are until its removal is in force everywhere: before, another
+   * controller would still accept what this one refuses for good.
+   */
+  get accepting(): readonly Team[] {
+    const { teams } = this;
+    return teams.some(({ removed }) => removed) && this.inForce() ? teams.filter(({ removed }) => !removed) : teams;
+  }
+
+  /** Is the newest version in force everywhere, as far as this controller can tell? */
+  inForce(): boolean {
+    const { version, mirror, settings } = this;
+    if (version === this.inForceVersion) return true;
+    const standings = standingsOf({
+      version,
+      partitions: settings.nodes.length,
+      owner: (partition) => mirror.get<OwnerRecord>(keys.owner(partition)),
+      presence: (node) => mirror.get<PresenceRecord>(keys.alive(node))?.v,
+      elapsedMs: this.scope.clock.now() - this.seen.at,
+      silentAfterMs: settings.timing.silentAfterMs,
+    });
+    if (isInForce(standings)) this.inForceVersion = version;
+    return this.inForceVersion === version;
+  }
+}
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -4,8 +4,10 @@
 import { Guarantees } from "./parts/guarantees.js";
 import { Leader } from "./parts/leader.js";
 import { Ownership } from "./parts/ownership.js";
+import { Configuration } from "./configuration/current.js";
 import { Committer } from "./ledger/committer.js";
 import { Mirror } from "./ledger/mirror.js";
+import type { PresenceRecord } from "./ledger/records.js";
 import { Rentals } from "./ledger/rentals.js";
 import type { Calls } from "./calls/calls.js";
 import { cloudThrough, stateThrough, workersThrough } from "./calls/through.js";
@@ -15,6 +17,7 @@
 import type { WorkerApi } from "@thorntrail/protocol/worker";
 import { Exchange } from "./exchange/exchange.js";
 import { Fleet } from "./fleet/fleet.js";
+import { Admission } from "./intake/admission.js";
 import { Jobs } from "./intake/jobs.js";
 import { Submissions } from "./intake/submissions.js";
 import { Relay } from "./intake/relay.js";
@@ -45,6 +48,7 @@
 /** One controller: all slices, wired. */
 export class Controller {
   readonly mirror: Mirror;
+  readonly configuration: Configuration;
   readonly rentals: Rentals;
   readonly needs: Needs;
   readonly committer: Committer;
@@ -85,6 +89,7 @@
     const service = stateThrough(around.state, calls, clock);
     const pace = { readGapMs: 3000 / (state.rps * share), blockMs: Math.min(timing.contactMs, timing.silentAfterMs / 2) / 4 };
     this.mirror = new Mirror(service, clock, requests, pace, calls.of("state.read"), scope.costs);
+    this.configuration = new Configuration(settings, this.mirror, scope);
     this.rentals = new Rentals(this.mirror);
     this.needs = new Needs(this.mirror);
     this.committer = new Committer(
@@ -113,6 +118,7 @@
       calls: calls.of("state.lease"),
       scope,
       cutOff: () => this.fitness.unfit,
+      acts: () => this.acts(),
     });
     this.detector = new Detector({
       settings,
@@ -134,8 +140,8 @@
       taken: (part, term, reason, silentMs) => this.leader.recovery.claimed(part, term, reason, silentMs),
       reaches: (part) => this.fitness.reaches(part),
     });
-    this.quotaShares = new QuotaShares(settings, this.mirror, this.committer, scope);
-    this.guarantees = new Guarantees(settings, this.mirror, this.needs, scope);
+    this.quotaShares = new QuotaShares(settings, this.configuration, () => this.leader.parts, this.mirror, this.committer, scope);
+    this.guarantees = new Guarantees(settings, this.configuration, this.mirror, this.needs, scope);
     this.leader = new Leader(
       settings,
       life,
@@ -169,8 +175,20 @@
     });
     const { overload } = this;
     this.exchange = new Exchange({ settings, life, leader, ownership, quotaShares, mirror, needs, committer, peers, overload, scope });
-    const submissions = new Submissions({ settings, leader, ownership, mirror, rentals, needs, committer, scope });
-    this.jobs = new Jobs(settings, leader, mirror, needs, submissions, committer, overload, scope);
+    const admission = new Admission(this.configuration, leader);
+    const submissions = new Submissions({
+      settings,
+      configuration: this.configuration,
+      admission,
+      leader,
+      ownership,
+      mirror,
+      rentals,
+      needs,
+      committer,
+      scope,
+    });
+    this.jobs = new Jobs(settings, leader, mirror, needs, submissions, admission, committer, overload, scope);
     this.relay = new Relay(settings, this.jobs, around.peers, () => this.peersHavingState(), scope, life);
   }
 
@@ -210,6 +228,15 @@
     );
   }
 
+  /** What this controller shows of the configuration; a partition that it has not fenced yet may be acted in by another. */
+  private acts(): PresenceRecord["acts"] | null {
+    const { version } = this.configuration;
+    if (version === 0) return null;
+    const parts = [...this.leader.parts.values()];
+    const fencing = parts.filter(({ phase }) => phase === "fencing").map(({ term }) => term - 1);
+    return { version, term: fencing.length > 0 ? Math.min(...fencing) : Math.max(0, ...parts.map(({ term }) => term)) };
+  }
+
   private stoodStill(ms: number): void {
     this.stalls.count++;
     this.stalls.ms += Math.round(ms);
--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -7,7 +7,7 @@
 import type { Needs } from "../pipelines/needs.js";
 import { rank } from "../queue/order.js";
 import type { Settings } from "../settings/derived.js";
-import { neverRuns } from "./admission.js";
+import type { Admission } from "./admission.js";
 import { type JobSpec, decodeJob, isRef } from "@thorntrail/protocol/jobs";
 import type { Submissions } from "./submissions.js";
 
@@ -25,6 +25,7 @@
     private readonly mirror: Mirror,
     private readonly needs: Needs,
     private readonly submissions: Submissions,
+    private readonly admission: Admission,
     private readonly committer: Committer,
     private readonly overload: Overload,
     private readonly scope: Scope,
@@ -79,7 +80,7 @@
       return (await this.fresh(patienceMs)) ? this.state(spec.ref) : this.unavailable("the state service does not answer");
     if (this.leader.types.length === 0) return this.unavailable("machine types are not known yet");
     const refused = (): string | null =>
-      neverRuns(spec, this.settings.platform.deployment.teams, this.leader.types) ??
+      this.admission.refused(spec) ??
       (this.submissions.fits(spec) ? null : "its description is longer than can be recorded") ??
       this.wrongNeed(spec);
     let never = refused();
@@ -90,6 +91,10 @@
       never = refused();
       if (never !== null) return { status: 422, body: { error: never } };
     }
+    if (this.admission.undecided(spec)) {
+      this.submissions.abandonPrepared();
+      return this.unavailable("a change of the team's limits is being decided");
+    }
     const hurry = rank(spec.urgency) <= rank("urgent");
     if (this.overload.sheds(hurry ? "urgent submission" : "submission")) return this.unavailable("too many requests", 429);
     const part = this.submissions.choosePart();
@@ -106,7 +111,11 @@
       this.scope.log.debug({ job: spec.ref, part, needs: spec.needs?.length ?? 0, fate, ms }, "job accepted");
       return fate === undefined ? { status: 201, body: { ref: spec.ref, status: "queued" } } : { ...this.state(spec.ref), status: 201 };
     }
-    return (await this.fresh(patienceMs)) ? this.state(spec.ref) : this.unavailable("the state service does not answer");
+    if (!(await this.fresh(patienceMs))) return this.unavailable("the state service does not answer");
+    if (this.mirror.get(keys.job(spec.ref)) !== undefined) return this.state(spec.ref);
+    // The configuration changed before the job was recorded.
+    never = refused();
+    return never === null ? this.unavailable("the configuration is changing") : { status: 422, body: { error: never } };
   }
 
   /** Why the jobs it names cannot be waited for, or null. Call only with a mirror that is fresh, or has them all. */
--- a/src/intake/submissions.ts
+++ b/src/intake/submissions.ts
@@ -1,14 +1,28 @@
 import type { JobSpec } from "@thorntrail/protocol/jobs";
 import { createHash } from "node:crypto";
+import type { Configuration } from "../configuration/current.js";
 import type { Committer, Outcome } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
-import { keys, recordBytes, sliceCapacity, specRoom, waitingFor, type JobRecord, type SliceRecord } from "../ledger/records.js";
+import {
+  keys,
+  recordBytes,
+  sliceCapacity,
+  specRoom,
+  waitingFor,
+  type ConfigurationRecord,
+  type JobRecord,
+  type SliceRecord,
+} from "../ledger/records.js";
 import type { Rentals } from "../ledger/rentals.js";
 import type { Leader } from "../parts/leader.js";
 import type { Ownership } from "../parts/ownership.js";
 import type { Needs } from "../pipelines/needs.js";
 import type { Scope } from "../platform/scope.js";
 import type { Settings } from "../settings/derived.js";
+import type { Admission } from "./admission.js";
+
+/** The longest that a change of limits stays undecided: whoever prepared it has ended. */
+const UNDECIDED_MS = 30_000;
 
 /** Takes refs from `refs` as long as they fit into `bytes`. */
 function takeRefs(refs: string[], bytes: number): string[] {
@@ -24,6 +38,8 @@
 /** Whom submissions work with. */
 export interface SubmissionsAround {
   settings: Settings;
+  configuration: Configuration;
+  admission: Admission;
   leader: Leader;
   ownership: Ownership;
   mirror: Mirror;
@@ -69,10 +85,12 @@
     const key = keys.job(spec.ref);
     const options = { shedAfterMs, turn: "now" } as const;
     const draftOf = (rowsOf: () => Map<string, unknown>) => () => {
-      if (this.around.mirror.get(key) !== undefined) return null;
+      if (this.around.mirror.get(key) !== undefined || this.stopped(spec)) return null;
       const rows = [...rowsOf()].filter(([k]) => this.around.mirror.get(k) === undefined);
       if (rows.length === 0) return null;
-      return { conditions: rows.map(([k]) => ({ k, stamp: 0 })), apply: rows.map(([write, v]) => ({ write, v })) };
+      // A job is accepted by the newest configuration, or not at all.
+      const conditions = [...rows.map(([k]) => ({ k, stamp: 0 })), { k: keys.configuration, stamp: this.around.configuration.stamp }];
+      return { conditions, apply: rows.map(([write, v]) => ({ write, v })) };
     };
     const ahead = [...this.ahead(spec, part)];
     while (ahead.length >= txnOps) {
@@ -94,6 +112,29 @@
     );
   }
 
+  /** By the configuration as it is now. */
+  private stopped(spec: JobSpec): boolean {
+    return this.around.admission.refused(spec) !== null || this.around.admission.undecided(spec);
+  }
+
+  /** Ends the preparation of a change whose author has not decided it in time: a copy that comes late then fails. */
+  abandonPrepared(): void {
+    const { configuration, mirror, committer, scope, settings } = this.around;
+    const { prepared, stamp } = configuration;
+    const waitMs = UNDECIDED_MS + settings.platform.deployment.clock_off_ms * 2;
+    if (prepared === undefined || scope.clock.wall() - prepared.at < waitMs) return;
+    void committer.commit(
+      "abandon change",
+      () => {
+        const record = mirror.get<ConfigurationRecord>(keys.configuration);
+        if (record === undefined || record.stamp !== stamp) return null;
+        const { prepared: _prepared, ...rest } = record.v;
+        return { conditions: [{ k: keys.configuration, stamp }], apply: [{ write: keys.configuration, v: rest }] };
+      },
+      { turn: "now", shedAfterMs: settings.timing.stateTimeoutMs },
+    );
+  }
+
   /** The first slice, which is the job's own record. A gang is one slice. */
   private firstSlice(spec: JobSpec): number {
     return spec.kind === "gang" ? spec.tasks : Math.min(sliceCapacity(this.around.settings.state.valueKb), spec.tasks);
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -1,5 +1,6 @@
 import type { JobSpec } from "@thorntrail/protocol/jobs";
 import { Bits } from "../platform/bits.js";
+import type { TeamSettings } from "../settings/platform-file.js";
 
 /** What is kept in the state service. Every key starts with `t/`. */
 
@@ -89,6 +90,12 @@
   ends?: number;
   /** The number of the last suspicion of this life that it refuted; absent: of a version that knows none. */
   refutes?: number;
+  /**
+   * The version of the configuration that it acts by, and the newest term up to which it has proven of all its
+   * partitions that their former owners can start nothing; absent: nothing was ever changed, or a program that knows
+   * no configuration.
+   */
+  acts?: { version: number; term: number };
 }
 
 /** Somebody suspects that this life of a node is over. Standing until the node refutes the number. */
@@ -104,6 +111,36 @@
   gpus: (number | null)[];
 }
 
+/** A team's guarantees and limits as a change has written them, and the version that did. */
+export interface TeamRecord extends TeamSettings {
+  version: number;
+  removed?: true;
+}
+
+/** Limits that would be lower, written down before it is checked that no accepted job needs more. */
+export interface PreparedChange {
+  id: string;
+  teams: TeamSettings[];
+  /** By the time of day of whoever changes. */
+  at: number;
+}
+
+/** The newest version of the configuration. */
+export interface ConfigurationRecord {
+  version: number;
+  at: number;
+  /** Of the change that made it: known again when it is repeated. */
+  id: string;
+  prepared?: PreparedChange;
+}
+
+/** What a version changed; null: the team was not there. */
+export interface ConfigurationHistoryRecord {
+  version: number;
+  at: number;
+  teams: { name: string; before: TeamSettings | null; after: TeamSettings | null }[];
+}
+
 /** Further jobs that a job needs; means nothing before the job's own record is there. */
 export interface NeedListRecord {
   ref: string;
@@ -120,6 +157,11 @@
   presence: "t/l/",
   suspicions: "t/x/",
   allotments: "t/q/",
+  configurationRoot: "t/c/",
+  /** Read before the teams when all is read page by page: it never says more than they do. */
+  configuration: "t/c/head",
+  changedTeams: "t/c/team/",
+  configurationHistory: "t/c/was/",
   job: (ref: string) => `t/j/${ref}`,
   slice: (ref: string, lo: number) => `t/s/${ref}/${String(lo).padStart(6, "0")}`,
   needList: (ref: string, name: string, i: number) => `t/n/${ref}/${name}/${i}`,
@@ -130,6 +172,8 @@
   suspicion: (node: string) => `t/x/${node}`,
   /** Team names may hold anything; keys may not hold spaces. */
   allotment: (team: string) => `t/q/${encodeURIComponent(team)}`,
+  changedTeam: (team: string) => `t/c/team/${encodeURIComponent(team)}`,
+  formerConfiguration: (version: number) => `t/c/was/${String(version).padStart(10, "0")}`,
 };
 
 /** Of a record's room, what the bit map of a slice may take, and what is added in the course of a job. */
--- a/src/membership/presence.ts
+++ b/src/membership/presence.ts
@@ -22,6 +22,8 @@
   scope: Scope;
   /** While this node cannot reach its workers, it should not lead. */
   cutOff: () => boolean;
+  /** The version of the configuration that this node acts by; null: nothing was ever changed. */
+  acts: () => PresenceRecord["acts"] | null;
 }
 
 /**
@@ -55,6 +57,7 @@
     // Which life's key stands there is known once all has been read.
     scope.listen(mirror.changes$, (key) => {
       if (key === "" && this.ends === null) void this.renew();
+      else if (key === keys.configuration) void this.renew();
     });
     scope.routine(
       "presence",
@@ -125,7 +128,7 @@
 
   private wanted(): PresenceRecord {
     const young = this.ageMs() < this.around.settings.timing.leaseMs;
-    return shown(this.around.life, this.unfit(), this.ends ?? 0, young, this.refutation());
+    return shown(this.around.life, this.unfit(), this.ends ?? 0, young, this.refutation(), this.around.acts());
   }
 
   private refutation(): number {
@@ -156,7 +159,9 @@
 
   /** What others see of us differs from how it is. */
   outdated(): boolean {
-    return this.unfit() !== this.saysUnfit(this.around.settings.self) || this.doubted();
+    const { acts, settings } = this.around;
+    if (this.unfit() !== this.saysUnfit(settings.self) || this.doubted()) return true;
+    return !isDeepStrictEqual(this.record(settings.self)?.acts ?? null, acts());
   }
 
   private record(node: string): PresenceRecord | undefined {
--- a/src/membership/returns.ts
+++ b/src/membership/returns.ts
@@ -25,6 +25,19 @@
 }
 
 /** What a node shows of itself. */
-export function shown(life: string, unfit: boolean, ends: number, young: boolean, refutes = 0): PresenceRecord {
-  return { life, ...(unfit ? { unfit } : {}), ...(young ? { ends } : {}), refutes };
+export function shown(
+  life: string,
+  unfit: boolean,
+  ends: number,
+  young: boolean,
+  refutes = 0,
+  acts: PresenceRecord["acts"] | null = null,
+): PresenceRecord {
+  return {
+    life,
+    ...(unfit ? { unfit } : {}),
+    ...(young ? { ends } : {}),
+    refutes,
+    ...(acts === null || acts === undefined ? {} : { acts }),
+  };
 }
--- a/src/parts/guarantees.ts
+++ b/src/parts/guarantees.ts
@@ -1,4 +1,5 @@
 import type { JobSpec } from "@thorntrail/protocol/jobs";
+import type { Configuration } from "../configuration/current.js";
 import type { Mirror } from "../ledger/mirror.js";
 import type { JobRecord } from "../ledger/records.js";
 import type { Needs } from "../pipelines/needs.js";
@@ -30,7 +31,7 @@
  * Jobs that fit into their team's guarantee together with the team's earlier
  * unfinished ones. Once granted it stays: what came later does not take it away.
  */
-export function grant(jobs: Iterable<JobRecord>, teams: TeamSettings[], granted: Set<string>): Set<string> {
+export function grant(jobs: Iterable<JobRecord>, teams: readonly TeamSettings[], granted: Set<string>): Set<string> {
   const byTeam = new Map<string, JobRecord[]>();
   for (const job of jobs) {
     if (job.end !== undefined) continue;
@@ -53,7 +54,7 @@
 }
 
 /** Teams that run less than they are guaranteed, of everything that they have a guarantee of. */
-export function below(teams: TeamSettings[], total: ReadonlyMap<string, Usage>): Set<string> {
+export function below(teams: readonly TeamSettings[], total: ReadonlyMap<string, Usage>): Set<string> {
   const less = (used: number, guaranteed: number): boolean => guaranteed <= 0 || used < guaranteed;
   const owed = teams.filter(({ name, cpus, gpus }) => {
     const used = total.get(name) ?? { cpus: 0, gpus: 0 };
@@ -73,13 +74,13 @@
 
   constructor(
     private readonly settings: Settings,
+    private readonly configuration: Configuration,
     private readonly mirror: Mirror,
     private readonly needs: Needs,
     private readonly scope: Scope,
   ) {}
 
   start(): void {
-    if (this.teams.every((team) => team.cpus <= 0 && team.gpus <= 0)) return;
     this.scope.routine(
       "guarantees",
       () => this.settings.timing.reportMs / 4,
@@ -87,11 +88,12 @@
     );
   }
 
-  private get teams(): TeamSettings[] {
-    return this.settings.platform.deployment.teams;
+  private get teams(): readonly TeamSettings[] {
+    return this.configuration.teams;
   }
 
   private review(): void {
+    if (this.granted.size === 0 && this.teams.every((team) => team.cpus <= 0 && team.gpus <= 0)) return;
     // What waits for other jobs holds no part of its team's guarantee.
     const jobs: JobRecord[] = [];
     for (const { v } of this.mirror.openJobs().values()) if (!this.needs.waits(v.spec.ref)) jobs.push(v);
--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -135,6 +135,8 @@
       if (isLoss(reason) && owner !== undefined && this.able(owner)) return null;
       const alive = owner === undefined ? null : { key: keys.alive(owner), stamp: this.around.mirror.stamp(keys.alive(owner)) };
       const conditions = claimConditions({ key, stamp: before?.stamp ?? 0 }, alive, reason);
+      // Whoever takes a partition knows the newest configuration, or does not get it.
+      conditions.push({ k: keys.configuration, stamp: this.around.mirror.stamp(keys.configuration) });
       return { conditions, apply: [{ write: key, v: { owner: this.around.settings.self, life: this.around.life } satisfies OwnerRecord }] };
     };
     // Alone: the stamp is the term, and two parts taken in one transaction would
--- a/src/parts/quota-shares.ts
+++ b/src/parts/quota-shares.ts
@@ -1,9 +1,11 @@
+import type { Configuration } from "../configuration/current.js";
+import { adjusted, startsAllowed, type Limit } from "../configuration/quota-shares.js";
 import type { Committer } from "../ledger/committer.js";
 import type { Mirror } from "../ledger/mirror.js";
 import { keys, type AllotmentRecord } from "../ledger/records.js";
 import type { Scope } from "../platform/scope.js";
 import type { Settings } from "../settings/derived.js";
-import { allotted, type Part, type Usage } from "./part.js";
+import { allotted, usageOf, type Part, type Usage } from "./part.js";
 
 /** Splits `max` over `n` parts in whole units, the remainder to the first. */
 function split(max: number, n: number): (number | null)[] {
@@ -12,6 +14,16 @@
   return Array.from({ length: n }, (_, i) => (i === 0 ? max - each * (n - 1) : each));
 }
 
+/** 0 in the settings says that there is none. */
+const limitOf = (max: number): Limit => (max <= 0 ? null : max);
+
+/** A number that is the same at every controller: teams' raised limits are given out by different partitions. */
+function partitionOf(team: string, partitions: number): number {
+  let hash = 0;
+  for (const char of team) hash = (hash * 31 + char.charCodeAt(0)) >>> 0;
+  return hash % partitions;
+}
+
 /**
  * Team limits, split durably over the parts. Only a part's leader makes its
  * own share smaller, and only by what it does not use, so that the sum of what
@@ -20,9 +32,14 @@
 export class QuotaShares {
   /** Ceded, but the transaction has not been answered for certain. */
   private readonly ceding = new Map<string, Usage>();
+  /** Teams and partitions whose share is being written. */
+  private readonly adjusting = new Set<string>();
 
   constructor(
     private readonly settings: Settings,
+    private readonly configuration: Configuration,
+    /** The partitions that this node owns. */
+    private readonly parts: () => ReadonlyMap<number, Part>,
     private readonly mirror: Mirror,
     private readonly committer: Committer,
     private readonly scope: Scope,
@@ -32,14 +49,33 @@
     this.scope.routine(
       "allotments",
       () => this.settings.timing.presenceMs / 4,
-      () => this.ensure(),
+      () => {
+        this.ensure();
+        this.adjustAll();
+      },
     );
+    this.scope.listen(this.mirror.changes$, (key) => {
+      if (key.startsWith(keys.configurationRoot)) this.adjustSoon();
+      else if (this.configuration.version > 0 && key.startsWith(keys.allotments)) this.adjustSoon();
+    });
+  }
+
+  private soon = false;
+
+  /** Once for all records of a transaction. */
+  private adjustSoon(): void {
+    if (this.soon) return;
+    this.soon = true;
+    this.scope.clock.after(0, () => {
+      this.soon = false;
+      if (!this.scope.closed) this.adjustAll();
+    });
   }
 
   private ensure(): void {
     if (!this.mirror.loaded) return;
     const n = this.settings.nodes.length;
-    for (const team of this.settings.platform.deployment.teams) {
+    for (const team of this.configuration.teams) {
       const key = keys.allotment(team.name);
       if (this.mirror.get(key) !== undefined) continue;
       const value: AllotmentRecord = { cpus: split(team.cpus_max, n), gpus: split(team.gpus_max, n) };
@@ -53,16 +89,78 @@
     }
   }
 
+  get teams(): Configuration["teams"] {
+    return this.configuration.teams;
+  }
+
+  /** What the partition may use of the team's limit. */
   held(part: number, team: string): Usage {
-    const share = allotted(this.mirror.get<AllotmentRecord>(keys.allotment(team))?.v, part);
+    const record = this.mirror.get<AllotmentRecord>(keys.allotment(team))?.v;
+    const share = this.startable(allotted(record, part), record, team);
     const ceding = this.ceding.get(`${part}|${team}`);
     return ceding === undefined ? share : { cpus: share.cpus - ceding.cpus, gpus: share.gpus - ceding.gpus };
   }
 
+  /** Nothing where a lowered limit is not reached yet: what some partition still holds may bring the sum above it. */
+  private startable(share: Usage, record: AllotmentRecord | undefined, team: string): Usage {
+    const limits = this.configuration.version === 0 ? undefined : this.configuration.team(team);
+    if (limits === undefined || record === undefined) return share;
+    return {
+      cpus: startsAllowed(record.cpus, limitOf(limits.cpus_max)) ? share.cpus : 0,
+      gpus: startsAllowed(record.gpus, limitOf(limits.gpus_max)) ? share.gpus : 0,
+    };
+  }
+
+  /** Brings the shares that this node holds to the limits of the newest configuration. */
+  private adjustAll(): void {
+    for (const { name } of this.configuration.changed())
+      for (const part of this.parts().values()) if (part.phase === "serving") this.adjust(part, name);
+  }
+
+  private adjust(part: Part, team: string): void {
+    const label = `${part.id}|${team}`;
+    if (this.adjusting.has(label) || this.ceding.has(label) || this.nextShares(part, team) === null) return;
+    this.adjusting.add(label);
+    const { term } = part;
+    const key = keys.allotment(team);
+    const draft = () => {
+      if (this.mirror.stamp(keys.owner(part.id)) !== term) return null;
+      const next = this.nextShares(part, team);
+      if (next === null) return null;
+      return {
+        conditions: [
+          { k: key, stamp: this.mirror.stamp(key) },
+          { k: keys.owner(part.id), stamp: term },
+          { k: keys.configuration, stamp: this.configuration.stamp },
+        ],
+        apply: [{ write: key, v: next }],
+      };
+    };
+    void this.committer.commit("adjust quota", draft, { shedAfterMs: this.settings.timing.presenceMs }).then((outcome) => {
+      this.adjusting.delete(label);
+      if (outcome === "done") this.scope.log.info({ part: part.id, team }, "quota share adjusted");
+    });
+  }
+
+  /** The team's record as this partition's owner would write it next; null: as it is. */
+  private nextShares(part: Part, team: string): AllotmentRecord | null {
+    const record = this.mirror.get<AllotmentRecord>(keys.allotment(team))?.v;
+    const limits = this.configuration.team(team);
+    if (record === undefined || limits === undefined) return null;
+    const used = usageOf(part, team);
+    const raises = partitionOf(team, this.settings.nodes.length) === part.id;
+    const next = (name: "cpus" | "gpus"): AllotmentRecord["cpus"] | null => {
+      const shares = adjusted(record[name], limitOf(limits[`${name}_max`]), { partition: part.id, used: used[name], raises });
+      return shares === null ? null : [...shares];
+    };
+    const [cpus, gpus] = [next("cpus"), next("gpus")];
+    return cpus === null && gpus === null ? null : { cpus: cpus ?? record.cpus, gpus: gpus ?? record.gpus };
+  }
+
   /** Gives up to `want` of what `spare` says is not needed here to another part. */
   cede(part: Part, to: number, team: string, want: Usage, spare: Usage): void {
     const label = `${part.id}|${team}`;
-    if (this.ceding.has(label) || part.phase !== "serving" || to === part.id) return;
+    if (this.ceding.has(label) || this.adjusting.has(label) || part.phase !== "serving" || to === part.id) return;
     const finite = (x: number): number => (Number.isFinite(x) ? Math.max(0, x) : 0);
     const give = { cpus: Math.min(finite(want.cpus), finite(spare.cpus)), gpus: Math.min(finite(want.gpus), finite(spare.gpus)) };
     if (give.cpus <= 0 && give.gpus <= 0) return;
--- a/src/parts/summary.ts
+++ b/src/parts/summary.ts
@@ -15,7 +15,7 @@
     if (unit.waiting.length > 0) waiting[unit.spec.klass] = (waiting[unit.spec.klass] ?? 0) + unit.waiting.length;
   const used = Object.fromEntries([...usageByTeam(part)].map(([team, u]) => [team, `${Math.round(u.cpus)}c ${Math.round(u.gpus)}g`]));
   const held = Object.fromEntries(
-    led.settings.platform.deployment.teams.map(({ name }) => {
+    quotaShares.teams.map(({ name }) => {
       const h = quotaShares.held(part.id, name);
       return [name, `${Number.isFinite(h.cpus) ? Math.round(h.cpus) : "-"}c ${Number.isFinite(h.gpus) ? Math.round(h.gpus) : "-"}g`];
     }),
--- a/src/settings/derived.ts
+++ b/src/settings/derived.ts
@@ -2,7 +2,7 @@
 import { SettingsError, type PlatformSettings } from "./platform-file.js";
 
 /** Clocks of different machines drift apart by at most this (PROTOCOL). */
-const DRIFT = 0.0005;
+export const DRIFT = 0.0005;
 
 /** Report intervals that are kept between the end of a lease and the end of a cancellation's time. */
 const KEPT_REPORTS = 1.2;
--- a/src/settings/platform-file.ts
+++ b/src/settings/platform-file.ts
@@ -7,6 +7,15 @@
 
 const txnOps = z.number().int().min(4);
 
+/** A team's guarantees and limits; 0: none. */
+export const teamSchema = z.object({
+  name: z.string().min(1),
+  cpus: amount.default(0),
+  cpus_max: amount.default(0),
+  gpus: amount.default(0),
+  gpus_max: amount.default(0),
+});
+
 /** The file the platform hands over. Fields it does not name are ignored. */
 const schema = z.object({
   host_name: z.string().min(1),
@@ -19,17 +28,7 @@
     size: z.number().int().min(1),
     zones: z.array(z.string()).default([]),
     clock_off_ms: amount.default(1000),
-    teams: z
-      .array(
-        z.object({
-          name: z.string().min(1),
-          cpus: amount.default(0),
-          cpus_max: amount.default(0),
-          gpus: amount.default(0),
-          gpus_max: amount.default(0),
-        }),
-      )
-      .default([]),
+    teams: z.array(teamSchema).default([]),
     objectives: z
       .array(
         z.object({
--- a/src/status/view.ts
+++ b/src/status/view.ts
@@ -7,7 +7,8 @@
 
 /** The cluster as this node sees it, for the person on call. */
 export function clusterView(controller: Controller): Record<string, unknown> {
-  const { settings, mirror, rentals, needs, presence, detector, ownership, leader, exchange, fitness, stalls, overload } = controller;
+  const { settings, configuration, mirror, rentals, needs, presence, detector, ownership, leader, exchange, fitness, stalls, overload } =
+    controller;
   const machines = [...rentals.all()];
   const parts = settings.nodes.map((_, id) => {
     const part = leader.parts.get(id);
@@ -32,7 +33,7 @@
       utilization: part.machines.size === 0 ? null : Math.round(utilization(part) * 100) / 100,
     };
   });
-  const allotments = settings.platform.deployment.teams.map(({ name }) => {
+  const allotments = configuration.teams.map(({ name }) => {
     const record = mirror.get<AllotmentRecord>(keys.allotment(name))?.v;
     return { team: name, cpus: record?.cpus ?? [], gpus: record?.gpus ?? [] };
   });
@@ -50,6 +51,7 @@
     present: settings.nodes.filter((node) => ownership.alive(node)),
     jobsWaitingForOthers: needs.waiting,
     parts,
+    configuration: { version: configuration.version, inForce: configuration.inForce() },
     allotments,
     calls: Object.fromEntries([...controller.calls.all()].map(({ operation, stats }) => [operation, stats])),
     callBudgets: Object.fromEntries(controller.calls.budgets().filter(([, left]) => Number.isFinite(left))),
--- /dev/null
+++ b/test/configuration.test.ts
@@ -0,0 +1,159 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { NoReply } from "@thorntrail/protocol/errors";
+import type { StateApi } from "@thorntrail/protocol/state";
+import { VirtualClock } from "@thorntrail/emulator/virtual/clock";
+import { VirtualState } from "@thorntrail/emulator/virtual/service-links";
+import { parseChange } from "../src/configuration/change-file.js";
+import { isInForce, standingsOf, type Evidence } from "../src/configuration/in-force.js";
+import { ChangeRefused, ConfigurationStore, HISTORY } from "../src/configuration/store.js";
+import { faultsOf, strandedJob, teamsOf } from "../src/configuration/teams.js";
+import { keys, type PresenceRecord } from "../src/ledger/records.js";
+import { specOf } from "./world/parts.js";
+
+const ops = { name: "ops", cpus: 4, cpus_max: 40, gpus: 0, gpus_max: 0 };
+const lab = { name: "lab", cpus: 0, cpus_max: 20, gpus: 0, gpus_max: 0 };
+const base = [ops, lab];
+const LIMITS = { rps: 1000, writeRps: 1000, valueKb: 32, txnOps: 16 };
+
+test("a change file that does not hold is refused with file, field and what was expected", () => {
+  const refused = (text: string): string => {
+    try {
+      parseChange("c.toml", text);
+    } catch (error) {
+      return (error as Error).message;
+    }
+    return "";
+  };
+  assert.match(refused("[[teams"), /^c\.toml: not TOML/);
+  assert.match(refused('[[teams]]\nname = "ops"\ncpu_max = 3'), /^c\.toml: teams\.0: .*cpu_max/);
+  assert.match(refused('[[teams]]\nname = "ops"\ncpus_max = -3'), /^c\.toml: teams\.0\.cpus_max: /);
+  assert.match(refused("remove = [3]"), /^c\.toml: remove\.0: /);
+});
+
+test("a change is checked as a whole against the teams there are", () => {
+  const teams = teamsOf(base, []);
+  const faults = (change: Parameters<typeof faultsOf>[0], most = 13): string => faultsOf(change, teams, most).join("; ");
+  assert.equal(faults({ set: [{ ...ops, cpus_max: 50 }], remove: ["lab"] }), "");
+  assert.match(faults({ set: [], remove: [] }), /expected teams to set or to remove/);
+  assert.match(faults({ set: [{ ...ops, cpus: 41 }], remove: [] }), /teams\.0\.cpus: 41: expected at most cpus_max, 40/);
+  assert.match(faults({ set: [ops, ops], remove: [] }), /teams\.1\.name: ops: expected each team once/);
+  assert.match(faults({ set: [], remove: ["nobody"] }), /remove\.0: nobody: expected the name of a team/);
+  assert.match(faults({ set: [ops, lab], remove: [] }, 1), /expected at most 1 in one change/);
+  const gang = specOf({ kind: "gang", team: "ops", tasks: 6, cpus: 5 });
+  assert.match(
+    String(strandedJob({ set: [{ ...ops, cpus_max: 29 }], remove: [] }, [gang])),
+    /run-000001 of team ops was accepted and needs more CPUs/,
+  );
+  assert.equal(strandedJob({ set: [{ ...ops, cpus_max: 30 }], remove: [] }, [gang]), null);
+  const [, , removed] = teamsOf(base, [{ ...lab, name: "old", version: 3, removed: true }]);
+  assert.deepEqual(removed, { ...lab, name: "old", removed: true });
+});
+
+test("in force where the owner shows the version and has fenced its partition, or has provably fallen silent", () => {
+  const owner = { v: { owner: "nest-0", life: "l1" }, stamp: 40 };
+  const seen = (presence: PresenceRecord | undefined, elapsedMs = 0): string => {
+    const evidence: Evidence = {
+      version: 3,
+      partitions: 1,
+      owner: () => owner,
+      presence: () => presence,
+      elapsedMs,
+      silentAfterMs: 22_000,
+    };
+    return standingsOf(evidence)[0]!.standing;
+  };
+  assert.equal(seen({ life: "l1", acts: { version: 3, term: 40 } }), "in force");
+  assert.equal(seen({ life: "l1", acts: { version: 2, term: 40 } }), "behind");
+  assert.equal(seen({ life: "l2", acts: { version: 3, term: 50 } }), "behind");
+  assert.equal(seen({ life: "l1", acts: { version: 3, term: 39 } }), "taking over");
+  assert.equal(seen({ life: "l1" }, 99_000), "of an older program");
+  assert.equal(seen(undefined, 21_999), "away");
+  assert.equal(seen(undefined, 22_000), "in force");
+  assert.ok(
+    isInForce(
+      standingsOf({ version: 3, partitions: 2, owner: () => undefined, presence: () => undefined, elapsedMs: 0, silentAfterMs: 1 }),
+    ),
+  );
+});
+
+/** A state service in virtual time, and the configuration in it. */
+function place(through: (state: StateApi) => StateApi = (state) => state) {
+  const clock = new VirtualClock();
+  const state = new VirtualState(clock, () => 5, LIMITS).client("operator", (fn) => fn());
+  const rest = (ms: number): Promise<void> => new Promise((resolve) => clock.after(ms, resolve));
+  const store = new ConfigurationStore(through(state), base, LIMITS, () => clock.wall(), rest);
+  const played = async <T>(work: Promise<T>): Promise<T | Error> => {
+    const caught = work.catch((error: Error) => error);
+    for (let i = 0; i < 400; i++) await clock.run(clock.now() + 50);
+    return caught;
+  };
+  return { clock, state, store, played };
+}
+
+test("versions: each change is one, repeated it is none, a step back is a new one, and the history is bounded", async () => {
+  const { store, state, played } = place();
+  assert.deepEqual(await played(store.set({ set: [{ ...ops, cpus_max: 60 }], remove: [] })), { version: 1, changed: true });
+  assert.deepEqual(await played(store.set({ set: [{ ...ops, cpus_max: 60 }], remove: [] })), { version: 1, changed: false });
+  assert.deepEqual(await played(store.set({ set: [ops], remove: ["lab"] })), { version: 2, changed: true });
+  const read = await played(store.read());
+  assert.ok(!(read instanceof Error));
+  assert.deepEqual(
+    read.teams.map(({ name, cpus_max, removed }) => [name, cpus_max, removed]),
+    [
+      ["ops", 40, false],
+      ["lab", 20, true],
+    ],
+  );
+  assert.deepEqual(
+    read.history.map(({ version }) => version),
+    [1, 2],
+  );
+  for (let i = 0; i < HISTORY + 2; i++) await played(store.set({ set: [{ ...ops, cpus_max: 100 + i }], remove: [] }));
+  const rows = await played(state.range(keys.configurationHistory, undefined, 500));
+  assert.ok(!(rows instanceof Error) && rows.rows.length === HISTORY);
+});
+
+test("two writers are never mixed: one of two changes at once is refused, and says so", async () => {
+  const { store, played } = place();
+  const both = Promise.all([
+    store.set({ set: [{ ...ops, cpus_max: 60 }], remove: [] }).catch((error: Error) => error),
+    store.set({ set: [{ ...ops, cpus_max: 70 }], remove: [] }).catch((error: Error) => error),
+  ]);
+  const done = (await played(both)) as (Error | { version: number })[];
+  const refused = done.filter((one) => one instanceof ChangeRefused);
+  assert.equal(refused.length, 1);
+  assert.match((refused[0] as Error).message, /another change came first, now version 1/);
+});
+
+test("an answer that is lost, and the write applied late once more: one version, one effect", async () => {
+  const copies: (() => Promise<unknown>)[] = [];
+  const { store, played } = place((state) => ({
+    ...state,
+    range: (...asked) => state.range(...asked),
+    txn: async (conditions, apply) => {
+      copies.push(() => state.txn(conditions, apply));
+      if (copies.length > 1) return state.txn(conditions, apply);
+      await state.txn(conditions, apply);
+      throw new NoReply("unanswered", "lost");
+    },
+  }));
+  assert.deepEqual(await played(store.set({ set: [{ ...ops, cpus_max: 60 }], remove: [] })), { version: 1, changed: true });
+  assert.deepEqual(await played(store.set({ set: [{ ...ops, cpus_max: 90 }], remove: [] })), { version: 2, changed: true });
+  for (const copy of copies) await played(copy());
+  const read = await played(store.read());
+  assert.ok(!(read instanceof Error));
+  assert.deepEqual([read.head?.version, read.teams[0]!.cpus_max], [2, 90]);
+});
+
+test("lower limits that an accepted job could not run within are refused, and nothing stays prepared", async () => {
+  const { store, state, played } = place();
+  const record = { spec: specOf({ ref: "run-000007", kind: "gang", team: "ops", tasks: 10, cpus: 4 }), part: 0, hi: 10, done: "", at: 1 };
+  await played(state.txn([], [{ write: keys.job("run-000007"), v: record }]));
+  const refused = await played(store.set({ set: [{ ...ops, cpus_max: 39 }], remove: [] }));
+  assert.ok(refused instanceof ChangeRefused && refused.code === "invalid");
+  assert.match(refused.message, /run-000007 of team ops was accepted and needs more CPUs/);
+  const read = await played(store.read());
+  assert.ok(!(read instanceof Error));
+  assert.deepEqual([read.head?.version, read.head?.prepared], [0, undefined]);
+});
