--- /dev/null
+++ b/test/quota-transfers.test.ts
@@ -0,0 +1,38 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { brokenRules } from "@thorntrail/emulator/checker";
+import { Cluster } from "./world/cluster.js";
+
+const type = { name: "m", cpus: 16, gpus: 0, ram: 100, cacheGb: 100, fetchGbPerS: 1, price: 1, spotPrice: 0.3, bootS: 2, zones: ["a"] };
+const TEAMS = 8;
+const teams = Array.from({ length: TEAMS }, (_, i) => ({ name: `team-${i}`, cpus: 0, cpus_max: 60, gpus: 0, gpus_max: 0 }));
+
+/** Six controllers, and jobs of every team at one of them at the same time. */
+async function played(tasks: number, cpus: number): Promise<{ transfers: number; conflicts: number; used: number[] }> {
+  const cluster = new Cluster({ seed: 3, controllers: 6, teams, types: [type], capacity: new Map([["m/a/ordinary", 60]]) });
+  const { world } = cluster;
+  let transfers = 0;
+  world.seen$.subscribe(({ what }) => (transfers += what === "quota transferred" ? 1 : 0));
+  await cluster.until(12);
+  const conflicts = (): number => [...world.nodes.values()].reduce((sum, { controller }) => sum + controller!.committer.stats.conflicts, 0);
+  const before = conflicts();
+  teams.forEach(({ name }, i) => cluster.submit({ ref: `run-00000${i}`, team: name, kind: "gang", tasks, cpus }, 300, `nest-${i % 6}`));
+  await cluster.until(60);
+  assert.deepEqual([brokenRules(world.history, world.limits()), world.errors], [[], []]);
+  const result = { transfers, conflicts: conflicts() - before, used: teams.map(({ name }) => cluster.usedBy(name)) };
+  cluster.close();
+  return result;
+}
+
+test("a gang that needs all of its team's quota gets it from all others in turn, with next to no conflicts", async () => {
+  const { transfers, conflicts, used } = await played(30, 2);
+  assert.deepEqual(used, Array<number>(TEAMS).fill(60));
+  assert.ok(transfers >= 5 * TEAMS && transfers <= 8 * TEAMS, `${transfers} transfers`);
+  assert.ok(conflicts <= transfers / 4, `${conflicts} conflicts, ${transfers} transfers`);
+});
+
+test("what one partition can give is not given by others too", async () => {
+  const { transfers, used } = await played(9, 2);
+  assert.deepEqual(used, Array<number>(TEAMS).fill(18));
+  assert.ok(transfers <= TEAMS, `${transfers} transfers for ${TEAMS} teams`);
+});
