--- a/measure/capacity/figures.ts
+++ b/measure/capacity/figures.ts
@@ -62,6 +62,7 @@
     smallJobsPerS: (region(target.jobs_a_day) / DAY_S) * given.peak_jobs_factor,
     pollsPerS: region(given.polled_jobs / given.poll_every_s),
     arraysEnding: region(given.arrays_ending),
+    rentalsPerS: region(target.machines_failed_a_day + target.machines_replaced_a_day) / DAY_S,
     openJobs: region(given.open_jobs),
     finishedJobs: region(given.finished_jobs),
   };
--- a/measure/scale.ts
+++ b/measure/scale.ts
@@ -3,7 +3,7 @@
 import { progress, report, Times } from "./harness.js";
 import { Cell, type Role, type Snapshot } from "./scale/cell.js";
 import { fleetOf, type Fleet } from "./scale/fleet.js";
-import { loadSlopes, loadsOf, type Loads } from "./scale/model.js";
+import { loadSlopes, loadsOf, slopeNamed, type Loads } from "./scale/model.js";
 import { playRole } from "./scale/roles.js";
 import { loadTarget, TargetFault } from "./scale/target.js";
 
@@ -35,6 +35,8 @@
 
 const running = (seen: Snapshot): number => sum(seen.workers.map((one) => one.running));
 const starts = (seen: Snapshot): number => sum(seen.workers.map((one) => one.starts));
+/** Rented, and gone again. */
+const machines = (seen: Snapshot): number => seen.machinesRented + seen.machinesGone;
 const workersUp = (seen: Snapshot): number => sum(seen.workers.map((one) => one.workers));
 
 /** Tasks that began in the busiest second, and over the five busiest in a row. */
@@ -90,6 +92,8 @@
   const figures: Figures = {
     [`${name}_running_tasks`]: running(to),
     [`${name}_workers`]: workersUp(to),
+    [`${name}_machines_rented`]: to.machinesRented - from.machinesRented,
+    [`${name}_machines_gone`]: to.machinesGone - from.machinesGone,
     [`${name}_starts_per_s`]: (starts(to) - starts(from)) / seconds,
     [`${name}_state_changes_per_s`]: (to.state.changes - from.state.changes) / seconds,
     [`${name}_state_conflicts`]: to.state.conflicts - from.state.conflicts,
@@ -121,9 +125,13 @@
     smallJobsPerS: 1,
     pollsPerS: (to.clients.polls - from.clients.polls) / seconds,
     arraysEnding: name === "burst" ? fleet.plan.jobs.filter(({ spec }) => spec.klass === "burst").length : 0,
+    rentalsPerS: (machines(to) - machines(from)) / seconds,
     openJobs: fleet.plan.jobs.length,
     finishedJobs: 0,
   });
+  // The process itself, which real workers have one of each, is shared by thousands of hollow ones.
+  const shared = (slopeNamed(named, "worker_idle_processor").intercept * fleet.plan.workerProcesses) / 1000 / workersUp(to);
+  predicted.worker_cores += shared;
   const measured = {
     controller_cores: Number(seen[`${name}_controller_cores`]) / fleet.plan.controllers,
     controller_mb: Number(seen[`${name}_controller_most_mb`]),
@@ -138,11 +146,23 @@
   return figures;
 }
 
+/** The most workers that were up at any look. */
+let mostWorkers = 0;
+
+/** Processor time of all controllers so far, by duty, as they logged it last. */
+function dutiesOf(cell: Cell): Map<string, number> {
+  const total = new Map<string, number>();
+  for (const spent of cell.duties.values())
+    for (const [duty, [, ms]] of Object.entries(spent)) total.set(duty, (total.get(duty) ?? 0) + ms);
+  return total;
+}
+
 async function until(cell: Cell, beganAt: number, ms: number): Promise<Snapshot> {
   let seen = await cell.snapshot();
   while (seen.at - beganAt < ms) {
     await sleep(Math.min(5000, Math.max(0, ms - (seen.at - beganAt))));
     seen = await cell.snapshot();
+    mostWorkers = Math.max(mostWorkers, workersUp(seen));
     const { conflicts, changes } = seen.state;
     progress(
       `${((seen.at - beganAt) / 1000).toFixed(0)} s: ${workersUp(seen)} workers, ${running(seen)} tasks running, ${starts(seen)} starts, ${changes} changes, ${conflicts} conflicts`,
@@ -184,6 +204,7 @@
       Object.assign(figures, { [`${name}_jobs`]: times.count + never, [`${name}_never_begun`]: never });
       Object.assign(figures, { [`${name}_p50_ms`]: times.at(50), [`${name}_p99_ms`]: times.at(99), [`${name}_worst_ms`]: times.worst });
     }
+    for (const [duty, ms] of dutiesOf(cell)) figures[`duty_${duty}_ms`] = ms;
     const peak = peakStarts(end);
     const why = [...invalid(spans[0]!), ...invalid(spans[1]!)];
     Object.assign(figures, {
@@ -191,6 +212,7 @@
       ...{ submit_p50_ms: end.clients.submitMs.p50, submit_p99_ms: end.clients.submitMs.p99, submit_worst_ms: end.clients.submitMs.worst },
       ...{ poll_p99_ms: end.clients.pollMs.p99, quota_transfers: cell.lines.get("quota transferred") ?? 0 },
       answers: end.clients.answers.map(([status, count]) => `${status}: ${count}`).join(", "),
+      most_workers: mostWorkers,
       most_running_tasks: sum(end.workers.map((one) => one.mostRunning)),
       error_lines: cell.errors.length,
       first_error: cell.errors[0] ?? "none",
--- a/measure/scale/cell.ts
+++ b/measure/scale/cell.ts
@@ -75,6 +75,9 @@
   processorMs: Map<string, number>;
   traffic: Traffic;
   state: StateCounters;
+  /** Machines asked for so far, and those of them that are gone. */
+  machinesRented: number;
+  machinesGone: number;
   workers: WorkersSeen[];
   clients: ClientsSeen;
 }
@@ -103,6 +106,8 @@
   readonly ended: string[] = [];
   /** Lines of controllers at error level. */
   readonly errors: string[] = [];
+  /** Of each controller, the newest line on where its processor time went: turns and ms by duty. */
+  readonly duties = new Map<string, Record<string, [turns: number, ms: number]>>();
   /** Log lines by their message. */
   readonly lines = new Map<string, number>();
   private readonly dir = mkdtempSync(join(tmpdir(), "thorntrail-scale-"));
@@ -144,12 +149,13 @@
   }
 
   private hear(name: string, line: string): void {
-    let entry: { level?: unknown; msg?: unknown } = {};
+    let entry: { level?: unknown; msg?: unknown; spent?: Record<string, [number, number]> } = {};
     try {
       entry = JSON.parse(line) as typeof entry;
     } catch {
       this.errors.push(`${name}: ${line.slice(0, 300)}`);
     }
+    if (entry.spent !== undefined) this.duties.set(name, entry.spent);
     const text = String(entry.msg ?? "");
     this.lines.set(text, (this.lines.get(text) ?? 0) + 1);
     if (entry.level === "error" || entry.level === 50) this.errors.push(`${name}: ${line.slice(0, 300)}`);
@@ -329,7 +335,8 @@
     const state = await this.stateCounters();
     const processorMs = new Map([...this.pids].map(([name, pid]) => [name, processorMsOf(pid)]));
     processorMs.set("cloud", processorMsOf(process.pid));
-    return { at: steadyMs(), processorMs, traffic: loopbackTraffic(), state, workers, clients };
+    const machines = { machinesRented: this.cloud.machines.size, machinesGone: this.cloud.machines.size - this.cloud.rented };
+    return { at: steadyMs(), processorMs, traffic: loopbackTraffic(), state, ...machines, workers, clients };
   }
 
   /** What each role used between two moments. */
--- a/measure/scale/model.ts
+++ b/measure/scale/model.ts
@@ -14,6 +14,8 @@
   pollsPerS: number;
   /** Arrays some of whose tasks end just now. */
   arraysEnding: number;
+  /** Machines that are rented and returned. */
+  rentalsPerS: number;
   openJobs: number;
   finishedJobs: number;
 }
@@ -71,17 +73,22 @@
 const PACKET_HEADER_BYTES = 52;
 /** Packets of a request and its answer, acknowledgements included. */
 const PACKETS_A_REQUEST = 4;
+/** Of the three controllers over which the cost of a team was measured, each has so many peers; they are so many ordered pairs. */
+const PEERS_MEASURED = 2;
+const PAIRS_MEASURED = 6;
 const REPORTS_A_WORKER_S = 0.4;
 
 /** Every term is slope times amount; a slope below nothing, which noise gives, counts as nothing. */
 export function loadsOf(named: SlopeNames, bytes: Record<string, number>, amounts: Amounts): Loads {
   const slope = (name: string): number => Math.max(0, slopeNamed(named, name).slope);
   const intercept = (name: string): number => Math.max(0, slopeNamed(named, name).intercept);
-  const { controllers, machines, tasks, teams, startsPerS, smallJobsPerS, pollsPerS, arraysEnding, openJobs, finishedJobs } = amounts;
+  const { controllers, machines, tasks, teams, startsPerS, smallJobsPerS, pollsPerS, arraysEnding, rentalsPerS, openJobs, finishedJobs } =
+    amounts;
   const controllerMs =
     intercept("controller_machine") +
     slope("controller_peer") * controllers +
-    slope("controller_team") * teams +
+    // Measured over three controllers: what each says of its teams reaches two others.
+    slope("controller_team") * teams * ((controllers - 1) / PEERS_MEASURED) +
     (slope("controller_machine") * machines +
       slope("controller_running_task") * tasks +
       slope("controller_start") * startsPerS +
@@ -90,7 +97,7 @@
       controllers;
   const byte = (name: string): number => bytes[name] ?? 0;
   const controllerMb =
-    intercept("controller_machine_memory") +
+    intercept("controller_start_memory") +
     slope("controller_peer_memory") * controllers +
     slope("controller_team_memory") * teams +
     (slope("controller_machine_memory") * machines + slope("controller_running_task_memory") * tasks) / controllers +
@@ -98,6 +105,13 @@
       byte("finished_job_bytes") * finishedJobs +
       (byte("queued_job_bytes") * openJobs) / controllers) /
       MB;
+  // Ends are written together: a few changes a second of each controller, however many there are.
+  const endChanges = startsPerS > 0 ? intercept("state_changes_array") * controllers + slope("state_changes_array") * arraysEnding : 0;
+  const changes =
+    slope("state_changes_controller") * controllers +
+    slope("state_changes_small_job") * smallJobsPerS +
+    slope("state_changes_machine") * rentalsPerS +
+    endChanges;
   const startsAWorker = startsPerS / machines;
   const tasksAWorker = tasks / machines;
   return {
@@ -119,9 +133,10 @@
       slope("state_requests_controller") * controllers +
       slope("state_requests_small_job") * smallJobsPerS +
       slope("state_requests_poll") * pollsPerS +
-      slope("state_changes_array") * arraysEnding,
-    state_changes_per_s: slope("state_changes_small_job") * smallJobsPerS + slope("state_changes_array") * arraysEnding,
+      slope("state_changes_machine") * rentalsPerS +
+      endChanges,
+    state_changes_per_s: changes,
     store_cores: (slope("store_controller") * controllers + slope("store_small_job") * smallJobsPerS) / MS,
-    peer_bytes_per_s: slope("loopback_pair") * controllers * (controllers - 1),
+    peer_bytes_per_s: (slope("loopback_pair") + (slope("loopback_team") * teams) / PAIRS_MEASURED) * controllers * (controllers - 1),
   };
 }
--- a/measure/slopes.ts
+++ b/measure/slopes.ts
@@ -12,6 +12,7 @@
   machineSlopes,
   pollSlopes,
   quotaSlopes,
+  rentalSlopes,
   startSlopes,
   submissionSlopes,
   taskSlopes,
@@ -65,6 +66,7 @@
   await add("starts", () => startSlopes([20_000, 8000, 3000], given.quick ? 20 : 40, seconds));
   await add("arrays", () => arraySlopes([1, 4, 16], given.quick ? 20 : 40, seconds));
   await add("submissions", () => submissionSlopes(given.quick ? [2, 5, 10] : [2, 8, 20], seconds));
+  await add("rentals", () => rentalSlopes(given.quick ? [20, 40, 80] : [40, 100, 200]));
   await add("polls", () => pollSlopes(given.quick ? [20, 80, 160] : [50, 200, 400], seconds));
   await add("decisions", decisionSlopes);
   await add("recovery", () => recoverySlopes([8, 16, 32]));
--- a/measure/slopes/processes.ts
+++ b/measure/slopes/processes.ts
@@ -182,6 +182,12 @@
   const rate = (seen: Seen): number => starts(seen) / seen.seconds;
   return [
     slopeOf("controller_start", "ms of processor", "start and end", points(sized, coreMs, rate)),
+    slopeOf(
+      "controller_start_memory",
+      "MB",
+      "start and end a second",
+      points(sized, (seen) => seen.controller.mostMb, rate),
+    ),
     slopeOf(
       "worker_start_processor",
       "ms of processor",
@@ -236,6 +242,27 @@
   ];
 }
 
+/** One more machine rented, from the request until it is recorded as up. */
+export async function rentalSlopes(sizes: number[]): Promise<Slope[]> {
+  const counted = await Promise.all(
+    sizes.map(async (size): Promise<Point> => {
+      const cell = new Cell(planOf({ jobs: [service(1, size, { cpus: CORES_A_MACHINE })] }));
+      try {
+        await cell.start();
+        const before = await cell.snapshot();
+        for (;;) {
+          const after = await cell.snapshot();
+          if (running(after) >= size) return { x: size, y: after.state.changes - before.state.changes };
+          await sleep(LOOK_MS);
+        }
+      } finally {
+        cell.close();
+      }
+    }),
+  );
+  return [slopeOf("state_changes_machine", "changes", "machine rented and up", counted)];
+}
+
 /** One more poll a second of a job that runs. */
 export async function pollSlopes(rates: number[], seconds: number): Promise<Slope[]> {
   const sized = await overSizes(rates, (rate) =>
