--- a/src/parts/quota-shares.ts
+++ b/src/parts/quota-shares.ts
@@ -37,6 +37,9 @@
   private readonly ceding = new Map<string, Usage>();
   /** Teams and partitions whose share is being written. */
   private readonly adjusting = new Set<string>();
+  /** Keys of records that are being made. */
+  private readonly making = new Set<string>();
+  private reviewDue = false;
   /** At the teams' records, since this node has read the state. */
   private looks = 0;
 
@@ -52,51 +55,51 @@
 
   start(): void {
     this.scope.routine(
-      "allotments",
+      "quota shares",
       () => this.settings.timing.presenceMs / 4,
       () => {
-        this.ensure();
-        this.adjustAll();
+        if (this.mirror.loaded) this.looks++;
+        this.review();
       },
     );
     this.scope.listen(this.mirror.changes$, (key) => {
-      if (key.startsWith(keys.configurationRoot)) this.adjustSoon();
-      else if (this.configuration.version > 0 && key.startsWith(keys.allotments)) this.adjustSoon();
+      if (key.startsWith(keys.owners) || key.startsWith(keys.configurationRoot)) this.reviewSoon();
+      else if (this.configuration.version > 0 && key.startsWith(keys.allotments)) this.reviewSoon();
     });
   }
 
-  private soon = false;
-
-  /** Once for all records of a transaction. */
-  private adjustSoon(): void {
-    if (this.soon) return;
-    this.soon = true;
+  /** Once for all records of a transaction, and after whoever else listens to them. */
+  private reviewSoon(): void {
+    if (this.reviewDue) return;
+    this.reviewDue = true;
     this.scope.clock.after(0, () => {
-      this.soon = false;
-      if (!this.scope.closed) this.adjustAll();
+      this.reviewDue = false;
+      if (!this.scope.closed) this.review();
     });
   }
 
+  private review(): void {
+    if (!this.mirror.loaded) return;
+    this.ensure();
+    this.adjustAll();
+  }
+
   /**
    * Records of teams that have none yet are made by the owner of one partition, another for each team: all of them at once
    * would only fail each other's transactions. Whoever still finds one missing a while later makes it.
    */
   private ensure(): void {
-    if (!this.mirror.loaded) return;
     const n = this.settings.nodes.length;
-    this.looks++;
     for (const team of this.configuration.teams) {
       const key = keys.allotment(team.name);
-      if (this.mirror.get(key) !== undefined) continue;
+      if (this.mirror.get(key) !== undefined || this.making.has(key)) continue;
       if (this.looks <= LOOKS_OF_OWNERS && !this.parts().has(partitionOf(team.name, n))) continue;
       const value: AllotmentRecord = { cpus: split(team.cpus_max, n), gpus: split(team.gpus_max, n) };
-      void this.committer.commit(
-        "allotment",
-        () => (this.mirror.get(key) !== undefined ? null : { conditions: [{ k: key, stamp: 0 }], apply: [{ write: key, v: value }] }),
-        {
-          shedAfterMs: this.settings.timing.presenceMs / 4,
-        },
-      );
+      this.making.add(key);
+      const draft = () =>
+        this.mirror.get(key) !== undefined ? null : { conditions: [{ k: key, stamp: 0 }], apply: [{ write: key, v: value }] };
+      const shedAfterMs = this.settings.timing.presenceMs / 4;
+      void this.committer.commit("quota record", draft, { shedAfterMs }).then(() => this.making.delete(key));
     }
   }
 
