docs/CAPACITY.md: the target by role, worked out from slopes, with what was run and what is missing

npm run capacity makes its tables again; a test holds the page to its files, and another the bad input.

The test that silence is sharp rested on one seed, where the leader's open watch happened to end before the cancellations: with another order of writes it read of them all and nothing was to be seen.

--- a/measure/capacity.ts
+++ b/measure/capacity.ts
@@ -27,7 +27,7 @@
   const tables = workedOut(target, given, figures);
   if (values.write) {
     writeFileSync(values.page, withTables(readFileSync(values.page, "utf8"), tables));
-    writeFileSync("docs/capacity/figures.json", `${JSON.stringify(figures, null, 1)}\n`);
+    writeFileSync("docs/capacity/figures.json", `${JSON.stringify(figures, null, 2)}\n`);
   } else process.stdout.write(`${tables}\n`);
 } catch (error) {
   if (!(error instanceof TargetFault) && !(error instanceof SlopesFault)) throw error;
--- a/measure/capacity/page.ts
+++ b/measure/capacity/page.ts
@@ -1,4 +1,4 @@
-import type { Loads } from "../scale/model.js";
+import type { Amounts, Loads } from "../scale/model.js";
 import type { Target } from "../scale/target.js";
 import type { Assumptions, Figures } from "./figures.js";
 
@@ -21,6 +21,20 @@
   return [line(head), line(widths.map((width) => "-".repeat(width))), ...rows.map(line)].join("\n");
 }
 
+const AMOUNTS: Record<keyof Amounts, string> = {
+  controllers: "controllers",
+  machines: "workers",
+  tasks: "tasks running",
+  teams: "teams",
+  startsPerS: "starts a second",
+  smallJobsPerS: "jobs a second",
+  pollsPerS: "polls a second",
+  arraysEnding: "arrays whose tasks end",
+  rentalsPerS: "rentals a second",
+  openJobs: "open jobs",
+  finishedJobs: "finished jobs",
+};
+
 interface Row {
   role: string;
   what: string;
@@ -47,10 +61,7 @@
 export function workedOut(target: Target, given: Assumptions, { hours, controlMachines, quota, failures }: Figures): string {
   const amounts = tableOf(
     ["a region's deployment", ...hours.map(({ name }) => name)],
-    (Object.keys(hours[0]!.amounts) as (keyof Figures["hours"][number]["amounts"])[]).map((name) => [
-      name,
-      ...hours.map(({ amounts }) => figure(amounts[name])),
-    ]),
+    (Object.keys(AMOUNTS) as (keyof Amounts)[]).map((name) => [AMOUNTS[name], ...hours.map(({ amounts }) => figure(amounts[name]))]),
   );
   const loads = rowsOf(target).map(({ role, what, load, budget, unit }) => {
     const values = hours.map((hour) => hour.loads[load]);
--- a/measure/scale/cell.ts
+++ b/measure/scale/cell.ts
@@ -47,6 +47,8 @@
   sockets: number;
   memMb: number;
   pollsPerS: number;
+  /** Each job is polled until it is done; so it is if nothing else is said. */
+  followed?: boolean;
   seed: number;
 }
 
@@ -185,8 +187,8 @@
       await this.startController(this.names[i]!);
     }
     await this.allHealthy();
-    const { jobs, pollsPerS, seed } = plan;
-    await this.startFork<FromClients>("clients", { kind: "init", fronts: this.fronts, jobs, pollsPerS, seed });
+    const { jobs, pollsPerS, seed, followed = true } = plan;
+    await this.startFork<FromClients>("clients", { kind: "init", fronts: this.fronts, jobs, followed, pollsPerS, seed });
   }
 
   private async startStore(port: number, admin: number): Promise<string> {
--- a/measure/scale/clients.ts
+++ b/measure/scale/clients.ts
@@ -92,7 +92,7 @@
   }
 
   private async follow(job: PlannedJob): Promise<void> {
-    if (!(await this.submit(job))) return;
+    if (!(await this.submit(job)) || !this.asked.followed) return;
     for (;;) {
       await pause(POLL_EVERY_MS * (0.75 + this.random() / 2));
       if ((await this.poll(job.spec.ref)) !== "done") continue;
--- a/measure/scale/messages.ts
+++ b/measure/scale/messages.ts
@@ -50,7 +50,9 @@
 
 export type FromWorkers = { kind: "ready" } | { kind: "booted"; host: string; address: string } | { kind: "seen"; seen: WorkersSeen };
 
-export type ToClients = { kind: "init"; fronts: string[]; jobs: PlannedJob[]; pollsPerS: number; seed: number } | { kind: "look" };
+/** `followed`: each job is polled until it is done. */
+export type ToClients =
+  { kind: "init"; fronts: string[]; jobs: PlannedJob[]; followed: boolean; pollsPerS: number; seed: number } | { kind: "look" };
 
 /** What the client population has seen so far. */
 export interface ClientsSeen {
--- a/measure/scale/model.ts
+++ b/measure/scale/model.ts
@@ -73,8 +73,7 @@
 const PACKET_HEADER_BYTES = 52;
 /** Packets of a request and its answer, acknowledgements included. */
 const PACKETS_A_REQUEST = 4;
-/** Of the three controllers over which the cost of a team was measured, each has so many peers; they are so many ordered pairs. */
-const PEERS_MEASURED = 2;
+/** Ordered pairs of the three controllers over which the messages about a team were measured. */
 const PAIRS_MEASURED = 6;
 const REPORTS_A_WORKER_S = 0.4;
 
@@ -87,8 +86,8 @@
   const controllerMs =
     intercept("controller_machine") +
     slope("controller_peer") * controllers +
-    // Measured over three controllers: what each says of its teams reaches two others.
-    slope("controller_team") * teams * ((controllers - 1) / PEERS_MEASURED) +
+    // As measured over three controllers; over 22 the full-size run showed no more (docs/CAPACITY.md).
+    slope("controller_team") * teams +
     (slope("controller_machine") * machines +
       slope("controller_running_task") * tasks +
       slope("controller_start") * startsPerS +
--- a/measure/slopes/processes.ts
+++ b/measure/slopes/processes.ts
@@ -288,7 +288,7 @@
   for (const size of counts) {
     const teams = equalTeams(size, { cpus: 8, cpus_max: 96, gpus: 0, gpus_max: 0 });
     const jobs = teams.map(({ name }, i) => service(i + 1, 1, { team: name }));
-    const seen = await observe(planOf({ controllers, teams, jobs }), seconds, (snapshot) => running(snapshot) >= size);
+    const seen = await observe(planOf({ controllers, teams, jobs, followed: false }), seconds, (snapshot) => running(snapshot) >= size);
     sized.push({ size, seen });
   }
   const each = (seen: Seen): number => coreMs(seen) / controllers;
--- /dev/null
+++ b/test/capacity.test.ts
@@ -0,0 +1,63 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import { figuresOf, loadAssumptions } from "../measure/capacity/figures.js";
+import { withTables, workedOut } from "../measure/capacity/page.js";
+import { loadSlopes, loadsOf, slopeNamed, SlopesFault, type Amounts } from "../measure/scale/model.js";
+import { loadTarget, parseTarget, TargetFault } from "../measure/scale/target.js";
+import { byPairs, fit } from "../measure/slopes/line.js";
+
+const PAGE = "docs/CAPACITY.md";
+const FOLDER = "docs/capacity";
+
+test("a line is fitted with slope, intercept and largest deviation, and what is none is said to be none", () => {
+  const line = fit([2, 4, 8].map((x) => ({ x, y: 3 + 2 * x })));
+  assert.deepEqual([line.slope.toFixed(6), line.intercept.toFixed(6), line.straight], ["2.000000", "3.000000", true]);
+  const pairs = [2, 4, 8, 16].map((x) => ({ x, y: 5 * x * (x - 1) }));
+  assert.equal(fit(pairs).straight, false);
+  assert.equal(fit(byPairs(pairs)).straight, true);
+  assert.throws(() => fit(pairs.slice(0, 2)), /2 points: expected three or more/);
+});
+
+test("a target with a mistake is refused in one line with file, field and what was expected", () => {
+  const text = readFileSync(`${FOLDER}/target.json`, "utf8");
+  const refused = (change: string): string => {
+    try {
+      parseTarget("t.json", change);
+    } catch (error) {
+      assert.ok(error instanceof TargetFault);
+      return error.message;
+    }
+    return "";
+  };
+  assert.match(refused("{"), /^t\.json: not JSON$/);
+  assert.match(refused(text.replace('"workers": 3500', '"workers": -1')), /^t\.json: workers: /);
+  assert.match(refused(text.replace('"workers"', '"machines"')), /t\.json: workers: .*; t\.json: \(top\): .*machines/);
+  assert.throws(() => loadSlopes(`${FOLDER}/target.json`), /target\.json: slopes: expected a list/);
+  assert.throws(() => slopeNamed(new Map(), "nothing"), SlopesFault);
+});
+
+test("what a role costs is slope times amount, and grows with each amount", () => {
+  const { named, bytes } = loadSlopes(`${FOLDER}/slopes.json`);
+  const amounts: Amounts = {
+    ...{ controllers: 4, machines: 1000, tasks: 10_000, teams: 340, startsPerS: 100, smallJobsPerS: 1, pollsPerS: 10, arraysEnding: 5 },
+    ...{ rentalsPerS: 0, openJobs: 100, finishedJobs: 100 },
+  };
+  const base = loadsOf(named, bytes, amounts);
+  const more = loadsOf(named, bytes, { ...amounts, startsPerS: 200 });
+  const each = slopeNamed(named, "controller_start").slope / 1000;
+  assert.ok(Math.abs(more.controller_cores - base.controller_cores - (100 * each) / 4) < 1e-9);
+  assert.ok(loadsOf(named, bytes, { ...amounts, finishedJobs: 10_000 }).controller_mb > base.controller_mb);
+  assert.ok(loadsOf(named, bytes, { ...amounts, controllers: 22 }).peer_bytes_per_s > 20 * base.peer_bytes_per_s);
+});
+
+test("the page says what its files give", () => {
+  const target = loadTarget(`${FOLDER}/target.json`);
+  const given = loadAssumptions(`${FOLDER}/assumptions.json`);
+  const { named, bytes } = loadSlopes(`${FOLDER}/slopes.json`);
+  const figures = figuresOf(target, given, named, bytes);
+  const page = readFileSync(PAGE, "utf8");
+  assert.equal(withTables(page, workedOut(target, given, figures)), page, "run: npm run capacity -- --write");
+  assert.ok(figures.controlMachines <= target.control_machines);
+  assert.throws(() => withTables("no markers", ""), /expected a line/);
+});
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -113,18 +113,25 @@
   beside: [],
 };
 
+/** Where the leader's open watch is as it is refused hangs on the seed: with some it still reads of all cancellations. */
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
+
 test("the bound of silence is sharp: four seconds more of it, and tasks of cancelled jobs are there too long", async () => {
-  const later = (ms: number) =>
-    playScenario(textOf(plain), (asked) =>
+  const later = (ms: number, seed: number) =>
+    playScenario(textOf({ ...plain, seed }), (asked) =>
       spawnController(asked, undefined, (settings) => ({
         ...settings,
         timing: { ...settings.timing, silentAfterMs: settings.timing.silentAfterMs + ms },
       })),
     );
-  const held = await later(0);
-  assert.deepEqual(brokenRules(held.world.history, held.world.limits()), []);
-  const broken = await later(4000);
-  assert.match(brokenRules(broken.world.history, broken.world.limits())[0] ?? "none", /^ran_cancelled/);
+  let sharp = 0;
+  for (const seed of SEEDS) {
+    const held = await later(0, seed);
+    assert.deepEqual(brokenRules(held.world.history, held.world.limits()), [], `seed ${seed}`);
+    const broken = await later(4000, seed);
+    if (/^ran_cancelled/.test(brokenRules(broken.world.history, broken.world.limits())[0] ?? "none")) sharp++;
+  }
+  assert.ok(sharp >= 2, `${sharp} of ${SEEDS.length} seeds`);
 });
 
 const context: ReportContext = {
