--- a/measure/slopes.ts
+++ b/measure/slopes.ts
@@ -6,18 +6,8 @@
 import { playRole } from "./scale/roles.js";
 import { decisionSlopes } from "./slopes/decisions.js";
 import type { Point } from "./slopes/line.js";
-import {
-  arraySlopes,
-  controllerSlopes,
-  machineSlopes,
-  pollSlopes,
-  quotaSlopes,
-  rentalSlopes,
-  startSlopes,
-  submissionSlopes,
-  taskSlopes,
-  teamSlopes,
-} from "./slopes/processes.js";
+import { controllerSlopes, quotaSlopes, teamSlopes } from "./slopes/clusters.js";
+import { arraySlopes, machineSlopes, pollSlopes, rentalSlopes, startSlopes, submissionSlopes, taskSlopes } from "./slopes/processes.js";
 import { recoverySlopes } from "./slopes/recovery.js";
 import { slopeOf, type Slope } from "./slopes/slope.js";
 
