--- a/measure/scale/cell.ts
+++ b/measure/scale/cell.ts
@@ -170,7 +170,8 @@
 
   /** Starts everything; resolves once every controller is healthy. The jobs' times count from then. */
   async start(): Promise<void> {
-    const { controllers, plan } = { controllers: this.plan.controllers, plan: this.plan };
+    const { plan } = this;
+    const { controllers } = plan;
     this.names = Array.from({ length: controllers }, (_, i) => `nest-${i}`);
     const ports = await reservePorts(controllers * 3 + 2);
     const of = (i: number, what: number): string => `127.0.0.1:${ports[i * 3 + what]!}`;
@@ -367,10 +368,6 @@
       .map(({ host }) => host);
   }
 
-  get machinesUp(): number {
-    return this.addresses.size;
-  }
-
   /** Ends every process, by its id, and takes the folder away. */
   close(): void {
     if (this.closing) return;
