--- /dev/null
+++ b/test/attempts.test.ts
@@ -0,0 +1,161 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Report, ReportedTask } from "@thorntrail/protocol/worker";
+import { nextAttempt, type Part } from "../src/parts/part.js";
+import { ready, runPass } from "../src/queue/pass.js";
+import { tailOf, type Unit } from "../src/queue/unit.js";
+import type { Machine } from "../src/workers/machine.js";
+import { newFindings, takeReport, type ReportContext } from "../src/workers/reports.js";
+import { NOW, partOf, pass, queueUp, specOf } from "./world/parts.js";
+
+/** A partition right after a takeover: what its machines tell is all that its owner knows of attempts. */
+class NewOwner {
+  readonly part: Part;
+  private readonly sequence = new Map<string, number>();
+
+  constructor(machines: number) {
+    this.part = partOf(machines, { cpus: 16, gpus: 0, ram: 64 }).part;
+    for (const machine of this.part.machines.values()) machine.token = 4;
+  }
+
+  machine(host: string): Machine {
+    return this.part.machines.get(host)!;
+  }
+
+  /** The machine's next report reaches the owner: all that it lists. */
+  hear(host: string, tasks: ReportedTask[]): void {
+    const seq = (this.sequence.get(host) ?? 0) + 1;
+    this.sequence.set(host, seq);
+    const report: Report = {
+      host,
+      addr: "x",
+      type: "m",
+      zone: "a",
+      spot: false,
+      session: 1,
+      seq,
+      token: this.part.term,
+      noticeS: null,
+      tasks,
+    };
+    takeReport(this.part, this.machine(host), report, this.context(), newFindings());
+  }
+
+  private context(): ReportContext {
+    return {
+      now: NOW,
+      viaReport: true,
+      leaseMs: 18_000,
+      coolMs: 0,
+      unitOf: (ref, task) => {
+        for (const unit of this.part.byRef.get(ref) ?? []) if (task >= unit.lo && task < unit.hi) return { unit, task: task - unit.lo };
+        return null;
+      },
+      strangerOf: (ref) =>
+        Object.assign(queueUp({ ...this.part, units: new Map(), byRef: new Map() }, specOf({ ref, cpus: 0 })), { ended: true }),
+    };
+  }
+
+  /** Machines on which the owner's scheduling cycle has just started tasks of the job. */
+  startedOn(unit: Unit): string[] {
+    const before = new Set(unit.placed.values());
+    runPass(this.part, pass);
+    return [...unit.placed.values()].filter((placement) => !before.has(placement)).map(({ host }) => host);
+  }
+}
+
+const listed = (piece: string, attempt: number, state: ReportedTask["state"] = "running"): ReportedTask => ({
+  piece,
+  attempt,
+  state,
+  cause: null,
+  saved: false,
+});
+const exited = (piece: string, attempt: number, cause: ReportedTask["cause"]): ReportedTask => ({
+  ...listed(piece, attempt, "exited"),
+  cause,
+});
+
+test("a task does not start while any attempt of it may be on a machine of the partition", async (t) => {
+  await t.test("array: an old report's attempt is taken in first, the true one second; the old one then proves gone", () => {
+    const owner = new NewOwner(3);
+    const unit = queueUp(owner.part, specOf({ cpus: 16 }));
+    owner.hear("i-0", [listed("run-000001/0", 1)]);
+    owner.hear("i-1", [listed("run-000001/0", 2)]);
+    owner.hear("i-0", []);
+    assert.deepEqual(owner.startedOn(unit), [], "attempt 2 is on i-1");
+    owner.hear("i-1", [exited("run-000001/0", 2, "stopped")]);
+    assert.equal(owner.startedOn(unit).length, 1);
+  });
+
+  await t.test("gang: members of a newer attempt are there when the old report's member proves gone", () => {
+    const owner = new NewOwner(6);
+    const unit = queueUp(owner.part, specOf({ kind: "gang", tasks: 3, cpus: 15 }));
+    owner.hear("i-0", [listed("run-000001/0", 1)]);
+    for (const i of [1, 2, 3]) owner.hear(`i-${i}`, [listed(`run-000001/${i - 1}`, 2)]);
+    owner.hear("i-0", []);
+    assert.deepEqual(owner.startedOn(unit), [], "all of attempt 2 is there");
+    owner.hear("i-1", [exited("run-000001/0", 2, "stopped")]);
+    owner.hear("i-2", [exited("run-000001/1", 2, "stopped")]);
+    assert.deepEqual(owner.startedOn(unit), [], "a member of attempt 2 is there");
+    owner.hear("i-3", [exited("run-000001/2", 2, "stopped")]);
+    assert.equal(owner.startedOn(unit).length, 3);
+  });
+
+  await t.test("refused as busy: the attempt that the worker means is on that machine", () => {
+    const owner = new NewOwner(2);
+    const unit = queueUp(owner.part, specOf({ cpus: 16 }));
+    const [host] = owner.startedOn(unit);
+    const ours = [...unit.placed.values()][0]!.attempt;
+    owner.hear(host!, [listed("run-000001/0", 1), exited("run-000001/0", ours, "busy")]);
+    unit.notBefore = -Infinity;
+    assert.deepEqual(owner.startedOn(unit), [], "attempt 1 is there");
+  });
+
+  await t.test("an attempt is seen before the job's record, and again after its unit was made", () => {
+    const owner = new NewOwner(2);
+    owner.hear("i-0", [listed("run-000001/0", 1)]);
+    const unit = queueUp(owner.part, specOf({ cpus: 16 }));
+    owner.hear("i-0", [listed("run-000001/0", 1)]);
+    assert.deepEqual(owner.startedOn(unit), [], "attempt 1 is on i-0");
+  });
+
+  await t.test("an attempt is seen while its job is being migrated, and the migration comes to nothing", () => {
+    const owner = new NewOwner(2);
+    const unit = queueUp(owner.part, specOf({ cpus: 16 }));
+    unit.leaving = true;
+    owner.hear("i-0", [listed("run-000001/0", 1)]);
+    unit.leaving = false;
+    assert.deepEqual(owner.startedOn(unit), [], "attempt 1 is on i-0");
+  });
+
+  await t.test("the last tasks of an array migrate only if no attempt of them may be on a machine", () => {
+    const owner = new NewOwner(3);
+    const unit = queueUp(owner.part, specOf({ tasks: 4, cpus: 16 }));
+    owner.hear("i-0", [listed("run-000001/3", 1)]);
+    owner.hear("i-1", [listed("run-000001/3", 2)]);
+    owner.hear("i-0", []);
+    assert.equal(tailOf(unit, 4), 0);
+  });
+
+  await t.test("refused for want of room, or as unknown: nothing is there, and the task waits again", () => {
+    for (const cause of ["no_room", "no_such"] as const) {
+      const owner = new NewOwner(2);
+      const unit = queueUp(owner.part, specOf({ cpus: 16 }));
+      const [host] = owner.startedOn(unit);
+      owner.hear(host!, [exited("run-000001/0", [...unit.placed.values()][0]!.attempt, cause)]);
+      unit.notBefore = -Infinity;
+      assert.ok(ready(unit, NOW), cause);
+    }
+  });
+});
+
+test("a result that is reported before the job's record counts once the job is known: its task does not run again", () => {
+  const owner = new NewOwner(2);
+  const result = exited("run-000001/0", nextAttempt(owner.part), "done");
+  owner.hear("i-0", [result]);
+  const unit = queueUp(owner.part, specOf({ cpus: 16 }));
+  owner.hear("i-0", [result]);
+  assert.deepEqual(owner.startedOn(unit), []);
+  assert.ok(unit.done.full);
+});
--- a/test/committer.test.ts
+++ b/test/committer.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Committer } from "../src/ledger/committer.js";
+import { Links } from "@thorntrail/emulator/links";
 import { Mirror } from "../src/ledger/mirror.js";
 import { Rate } from "@thorntrail/protocol/rate";
 import { Scope } from "../src/platform/scope.js";
@@ -13,7 +14,8 @@
 
 async function place() {
   const clock = new VirtualClock();
-  const service = new VirtualState(clock, () => latency.ms, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 });
+  const links = new Links();
+  const service = new VirtualState(clock, () => latency.ms, { rps: 100, writeRps: 25, valueKb: 32, txnOps: 16 }, links);
   const latency = { ms: 2 };
   const client = service.client("n", (fn) => fn());
   const rate = new Rate(clock, 100);
@@ -29,7 +31,7 @@
     (key: string, v: unknown = {}) =>
     () =>
       mirror.get(key) === undefined ? { conditions: [{ k: key, stamp: 0 }], apply: [{ write: key, v }] } : null;
-  return { clock, service, latency, mirror, write, committer, scope };
+  return { clock, service, links, latency, mirror, write, committer, scope };
 }
 
 test("users' writes do not wait behind what piled up in an outage", async () => {
@@ -86,3 +88,27 @@
   assert.equal(committer.backlog, 0);
   scope.close();
 });
+
+test("a change that may have been carried out is not called unsent when the service then refuses its size", async () => {
+  // Guards against: a migration whose answer was lost, taken for one that never left; its job would run in two partitions.
+  const { clock, service, committer, write, scope, links } = await place();
+  const outcomes: string[] = [];
+  const end = links.add({ from: "n", to: "state", what: "txn", effect: { kind: "drop" }, count: 1 });
+  const endReads = links.add({ from: "n", to: "state", what: "follow", effect: { kind: "refuse" } });
+  // Watches that are open now still tell of changes; the next ones are refused.
+  await clock.run(clock.now() + 1000);
+  void committer.commit("move", write("t/x/job", "x".repeat(2000))).then((how) => outcomes.push(how));
+  await clock.run(clock.now() + 200);
+  service.limit({ valueKb: 1 });
+  await clock.run(clock.now() + 4000);
+  end();
+  assert.deepEqual(
+    outcomes.filter((how) => how === "shed"),
+    [],
+  );
+  endReads();
+  await clock.run(clock.now() + 8000);
+  assert.deepEqual(outcomes, ["settled"]);
+  assert.equal(committer.backlog, 0);
+  scope.close();
+});
