Emulator: commands held up, what a controller sends lost one way, and reports kept for the next owner on real processes too

late-commands and lose-sent as faults of both drivers; late-reports with for_next was virtual time only.

--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -87,6 +87,15 @@
   }),
   /** That share of all transactions gets no answer, and is carried out 2 to 12 s later; or, `at_once`, right away. */
   z.strictObject({ kind: z.literal("late-writes"), share: share.default(0.2), at_once: z.boolean().default(false), ...lasting }),
+  /** That share of the direct commands to machines gets no answer, and is carried out once, 2 to 16 s later, if token and session still match. */
+  z.strictObject({ kind: z.literal("late-commands"), share: share.default(0.2), ...lasting }),
+  /** One way: what the controller sends there is lost; what it is sent arrives. */
+  z.strictObject({
+    kind: z.literal("lose-sent"),
+    target: node,
+    to: z.enum(["state", "cloud", "workers", "controllers", "all"]),
+    ...lasting,
+  }),
   /** Users call off so many jobs that run and have long to go, within a fifth of a second; up to eight of their machines hang so long. */
   z.strictObject({ kind: z.literal("cancel-now"), count: count.default(5), hang: seconds.default(0) }),
   /** That share of the jobs that end is called off at the moment of the end. */
@@ -170,11 +179,13 @@
 
 const MOST_HANGING = 8;
 const LATE_WRITES_MS = { leastMs: 2000, ms: 12_000 };
+const LATE_COMMANDS_MS = { leastMs: 2000, ms: 16_000 };
 
 /** How long it lasts, or until the last of what it sets off has come, in ms. */
 export function lastsMs(fault: Fault): number {
   const forMs = "for" in fault ? (fault.for ?? 0) * 1000 : 0;
   if (fault.kind === "late-writes" && !fault.at_once) return forMs + LATE_WRITES_MS.ms;
+  if (fault.kind === "late-commands") return forMs + LATE_COMMANDS_MS.ms;
   if (fault.kind === "cancel-now") return fault.hang * 1000;
   return forMs + ("ms" in fault ? fault.ms : 0) + ("notice" in fault ? fault.notice * 1000 : 0);
 }
@@ -290,6 +301,15 @@
       until(fault.for, stage.rule({ from: "*", to: "state", what: "txn", effect, share: fault.share }));
       return stage.controllers();
     }
+    case "late-commands": {
+      const effect = { kind: "late", ...LATE_COMMANDS_MS } as const;
+      until(fault.for, stage.rule({ from: "controllers", to: "workers", what: "command", effect, share: fault.share }));
+      return stage.machines();
+    }
+    case "lose-sent":
+      return each(controllersOf(stage, fault.target), (from) =>
+        until(fault.for, stage.rule({ from, to: fault.to === "all" ? "*" : fault.to, effect: { kind: "lose" } })),
+      );
     case "cancel-now": {
       const { refs, hosts } = crowd.cancelNow(fault.count);
       if (fault.hang > 0) hang(hosts.slice(0, MOST_HANGING), fault.hang);
--- a/packages/emulator/src/real/gate.ts
+++ b/packages/emulator/src/real/gate.ts
@@ -36,6 +36,7 @@
   if (delayMs > 0) await wait(delayMs);
   // No answer: whoever asked hears nothing until its own time is over.
   if (links.hold(call, () => void options.execute(passing))) return;
+  if (links.loses(call)) return;
   const effect = links.judge(call);
   if (effect?.kind === "refuse") return send(res, { status: 503, text: '{"error":"trouble"}', retryAfter: "1" });
   if (effect?.kind === "late") return void setTimeout(() => void options.execute(passing), effect.ms);
--- a/packages/emulator/src/real/peer-lines.ts
+++ b/packages/emulator/src/real/peer-lines.ts
@@ -15,6 +15,8 @@
     const colon = addr.lastIndexOf(":");
     const through = connect(Number(addr.slice(colon + 1)), addr.slice(0, colon));
     const pass = (into: Socket) => (chunk: Buffer) => {
+      // What is lost out of a stream breaks it; the other way is left alone until then.
+      if (into === through && links.loses(call)) return void socket.destroy();
       const write = (): void => void (into.destroyed || into.write(chunk));
       if (!links.hold(call, write)) write();
     };
--- a/packages/emulator/src/real/rig.ts
+++ b/packages/emulator/src/real/rig.ts
@@ -13,7 +13,7 @@
 import { seeded } from "../luck.js";
 import { platformOf, type Timing } from "../place.js";
 import type { Planned, RehearsalPlan } from "../plan.js";
-import { tookOver } from "../recovery.js";
+import { isTakeover, tookOver } from "../recovery.js";
 import { Balancer } from "./balancer.js";
 import { openGate } from "./gate.js";
 import { ask, objectOf } from "./http.js";
@@ -36,6 +36,8 @@
 }
 
 const STORE = "store";
+/** A kept report comes within so long of the new owner's beginning. */
+const KEPT_REPORTS_MS = 500;
 
 export interface RigOptions {
   /** The program that serves, as `[node, main.js]`. */
@@ -139,7 +141,9 @@
     } catch {
       entry = { msg: line };
     }
-    if (tookOver(String(entry["msg"]), entry)) this.takeovers++;
+    const what = String(entry["msg"]);
+    if (tookOver(what, entry)) this.takeovers++;
+    if (isTakeover(what)) this.clock.after(KEPT_REPORTS_MS * this.luck(), () => this.hosts.deliverKept());
     this.options.onLog?.(node, entry);
   }
 
--- a/packages/emulator/src/real/worker-host.ts
+++ b/packages/emulator/src/real/worker-host.ts
@@ -7,6 +7,8 @@
 
 const PATIENCE_MS = 4000;
 const MOST_ANSWER = 64 * 1024;
+/** Copies of reports kept for the next controller that takes a part; the oldest make room for more. */
+const MOST_KEPT = 2000;
 
 /** A controller's answer to a report, as a worker takes it. */
 function answerOf(raw: Raw | null): ReportAnswer | null {
@@ -38,8 +40,10 @@
   readonly workers = new Map<string, Worker>();
   private readonly servers = new Map<string, Server>();
   private readonly agent = agentOf(2000);
-  readonly stats = { reports: 0, unanswered: 0, late: 0 };
+  readonly stats = { reports: 0, unanswered: 0, late: 0, kept: 0 };
   private readonly reportedAt = new Map<string, number>();
+  /** Reports of which a copy comes again, at every controller, once one takes a part. */
+  private kept: string[] = [];
   /** Members of gangs that have had their image, by attempt: asked for ten times a second by each of them. */
   private readonly gangs = new Map<string, GangMember[]>();
 
@@ -116,6 +120,7 @@
     const front = this.fronts.get(node);
     const call = { from: host, to: node, what: "report" };
     const body = JSON.stringify(encodeReport(report));
+    if (this.links.keeps(call)) this.keep(body);
     const post = (): Promise<Raw | null> =>
       front === undefined ? Promise.resolve(null) : ask(this.agent, front, "POST", "/v1/report", body, PATIENCE_MS);
     if (this.links.hold(call, () => void post())) return new Promise((resolve) => this.world.clock.after(PATIENCE_MS, () => resolve(null)));
@@ -130,6 +135,21 @@
     return this.links.blocked(call) || this.links.loses({ from: node, to: host, what: "answer" }) ? null : answer;
   }
 
+  private keep(report: string): void {
+    this.kept.push(report);
+    if (this.kept.length > MOST_KEPT) this.kept.shift();
+  }
+
+  /** A controller has just taken a part: old reports come to all of them. Nobody waits for the answers. */
+  deliverKept(): void {
+    for (const report of this.kept.splice(0)) {
+      for (const front of this.fronts.values()) {
+        this.stats.kept++;
+        void ask(this.agent, front, "POST", "/v1/report", report, PATIENCE_MS);
+      }
+    }
+  }
+
   private async serve(host: string, req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await readBody(req);
     const worker = this.workers.get(host);
@@ -150,6 +170,9 @@
     const delayMs = this.links.delayMs(call);
     if (delayMs > 0) await new Promise<void>((resolve) => this.world.clock.after(delayMs, resolve));
     if (worker.dead || worker.hanging) return;
+    const effect = this.links.judge(call);
+    // Held up on its way, and carried out when nobody waits for its answer any more.
+    if (effect?.kind === "late") return void this.world.clock.after(effect.ms, () => void (worker.dead || worker.hanging || run()));
     const answer = run();
     // Executed, and the answer is lost on its way back.
     if (!this.links.blocked({ from: host, to: call.from, what: "answer" })) send(res, answer);
--- a/packages/emulator/src/virtual/service-links.ts
+++ b/packages/emulator/src/virtual/service-links.ts
@@ -44,6 +44,7 @@
     const silent = (why: string): void => void clock.after(asked.timeoutMs, () => fail(new NoReply("unanswered", why)));
     clock.after(latencyMs() + links.delayMs(call), () => {
       if (links.hold(call, executeUnheard)) return silent("cut");
+      if (links.loses(call)) return silent("lost");
       const effect = links.judge(call);
       if (down() || effect?.kind === "refuse") return void clock.after(latencyMs(), () => fail(new NoReply("refused", "503")));
       if (effect?.kind === "late") {
--- a/packages/emulator/src/virtual/world.ts
+++ b/packages/emulator/src/virtual/world.ts
@@ -330,6 +330,7 @@
         if (worker === undefined || worker.hanging) return;
         const effect = this.links.judge({ from: node, to: host, what: "command" });
         if (effect?.kind === "refuse") return;
+        if (effect?.kind === "late") return void this.clock.after(effect.ms, () => this.carryOutLate(host, act));
         const reply = act(worker);
         if (effect?.kind === "twice") act(worker);
         if (effect?.kind === "drop") return;
@@ -344,6 +345,12 @@
     });
   }
 
+  /** A command that was held up on its way; nobody waits for its answer any more. */
+  private carryOutLate(host: string, act: (worker: Worker) => CommandReply): void {
+    const worker = this.workers.get(host);
+    if (worker !== undefined && !worker.hanging) act(worker);
+  }
+
   /** A controller has just taken a part: old reports come to all of them. */
   private deliverKept(): void {
     for (const report of this.kept.splice(0))
