A task starts only if no attempt of it may be on a machine: one registry of attempts a partition

Cause: the decision to start asked the unit, which holds one placement a task, while the machines held every attempt. An attempt adopted beside the placed one, before its unit was made or while its job was migrating was counted as used room, and for nothing else: as soon as the placed one proved gone, the task started beside it. AttemptRegistry is kept by hold and letGo, which every attempt passes, at constant cost; queue, gang restart, slices, migration and new units ask it. A result without a unit is looked at again in each report. A pending write that was sent without an answer and is then refused for its size is read back before it is called unsent (second fault).

Ruled out: no_room and no_such leave nothing behind. A gang is brought down for a lost member only if it is incomplete.

--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -76,7 +76,7 @@
       unit.lo === 0 &&
       unit.hi === unit.spec.tasks &&
       unit.done.count === 0 &&
-      unit.placed.size === 0 &&
+      !unit.attempts.hasJob(unit.spec.ref) &&
       unit.waiting.length > 0 &&
       !suspect(unit)
     );
--- a/src/exchange/moving.ts
+++ b/src/exchange/moving.ts
@@ -42,7 +42,8 @@
     const count = Math.min(tailOf(unit, room), whole - 1);
     if (count <= 0) return;
     const lo = whole - count;
-    const gone = unit.waiting.filter((task) => task >= lo);
+    const migrating = unit.waiting.filter((task) => task >= lo);
+    unit.leavingFrom = lo;
     unit.waiting = unit.waiting.filter((task) => task < lo);
     const { ref } = unit.spec;
     const key = keys.slice(ref, lo);
@@ -67,7 +68,8 @@
     };
     void this.around.committer.commit("slice", draft).then((outcome) => {
       const moved = (this.around.mirror.get<JobRecord>(unit.key)?.v.hi ?? 0) <= lo;
-      if (!moved && !unit.ended) unit.waiting.push(...gone);
+      unit.leavingFrom = Infinity;
+      if (!moved && !unit.ended) unit.waiting.push(...migrating.filter((task) => !unit.attempts.hasTask(ref, task)));
       this.askAgain(unit);
       this.around.scope.log.debug({ part: part.id, to, job: ref, tasks: count, moved, outcome }, "slice moved");
     });
--- a/src/ledger/committer.ts
+++ b/src/ledger/committer.ts
@@ -233,20 +233,31 @@
    * everything behind it waiting for ever: so each goes by itself, and one that is
    * refused alone is given up.
    */
-  private takeApart(intents: Intent[], error: TooLarge): Intent[] {
+  private async takeApart(intents: Intent[], error: TooLarge): Promise<Intent[]> {
     for (const intent of intents) intent.alone = true;
     const [only] = intents;
     if (intents.length > 1 || only === undefined) return intents;
+    if (only.inDoubt) {
+      // An earlier copy may have been carried out while the limits were higher: only a read after this refusal tells.
+      if (!(await this.readBack())) return intents;
+      if (only.draft() === null) {
+        only.resolve("settled");
+        return [];
+      }
+    }
     this.log.error({ intent: only.label, err: error.message }, "the state service does not take this change");
     only.resolve("shed");
     return [];
   }
 
-  private async readBack(): Promise<void> {
+  /** False: the state service could not be read. */
+  private async readBack(): Promise<boolean> {
     try {
       await this.mirror.fresh();
+      return true;
     } catch {
       await this.calls.rest();
+      return false;
     }
   }
 
--- a/src/parts/holdings.ts
+++ b/src/parts/holdings.ts
@@ -8,7 +8,7 @@
 import { acquit, dropAll, newFindings } from "../workers/reports.js";
 import type { Consequences } from "./consequences.js";
 import type { Led } from "./led.js";
-import { addUnit, newPart, removeUnit, type Part } from "./part.js";
+import { addMachine, addUnit, newPart, removeUnit, type Part } from "./part.js";
 import type { Progress } from "./progress.js";
 import type { Watch } from "./watch.js";
 
@@ -126,15 +126,14 @@
       // The former leader may go on answering until it has to fall silent.
       fresh.answeredAt = fresh.up ? this.led.now + this.led.settings.timing.silentAfterMs : -Infinity;
       if (fresh.up) fresh.reportedAt = this.led.now;
-      fresh.books = part.usage;
-      part.machines.set(host, fresh);
+      addMachine(part, fresh);
     }
     this.led.wake();
   }
 
   forgetMachine(part: Part, machine: Machine): void {
     const findings = newFindings();
-    dropAll(machine, this.led.now, findings);
+    dropAll(part, machine, this.led.now, findings);
     part.machines.delete(machine.host);
     this.consequences.act(part, findings);
   }
--- a/src/parts/part.ts
+++ b/src/parts/part.ts
@@ -1,7 +1,8 @@
 import type { JobSpec } from "@thorntrail/protocol/jobs";
 import type { AllotmentRecord } from "../ledger/records.js";
 import type { Machine, Usage } from "../workers/machine.js";
-import type { Unit } from "../queue/unit.js";
+import { AttemptRegistry } from "../queue/attempts.js";
+import { withhold, type Placement, type Unit } from "../queue/unit.js";
 
 /**
  * A part as its leader holds it: machines, queue and what they use. All of it
@@ -16,7 +17,10 @@
   machines: Map<string, Machine>;
   units: Map<string, Unit>;
   byRef: Map<string, Set<Unit>>;
-  attempts: number;
+  /** Every attempt that may be on one of its machines. */
+  attempts: AttemptRegistry<Placement>;
+  /** Attempt numbers handed out in this term. */
+  numbered: number;
   /** What each team's tasks use here, counting all that may be on a machine. */
   usage: Map<string, Usage>;
 }
@@ -24,7 +28,18 @@
 export type { Usage };
 
 export function newPart(id: number, term: number, now: number): Part {
-  return { id, term, phase: "fencing", since: now, machines: new Map(), units: new Map(), byRef: new Map(), attempts: 0, usage: new Map() };
+  return {
+    id,
+    term,
+    phase: "fencing",
+    since: now,
+    machines: new Map(),
+    units: new Map(),
+    byRef: new Map(),
+    attempts: new AttemptRegistry(),
+    numbered: 0,
+    usage: new Map(),
+  };
 }
 
 /** Attempts one term may hand out to a slice before numbers would meet the next term's. */
@@ -32,17 +47,33 @@
 
 /** Terms are unique over all parts, so attempts made from them are too, and they grow. */
 export function nextAttempt(part: Part): number {
-  part.attempts = (part.attempts + 1) % ATTEMPTS_PER_TERM;
-  return part.term * ATTEMPTS_PER_TERM + part.attempts;
+  part.numbered = (part.numbered + 1) % ATTEMPTS_PER_TERM;
+  return part.term * ATTEMPTS_PER_TERM + part.numbered;
 }
 
+/** The machine's use and its attempts are counted with the part's from now on. */
+export function addMachine(part: Part, machine: Machine): void {
+  machine.books = part.usage;
+  machine.attempts = part.attempts;
+  part.machines.set(machine.host, machine);
+}
+
+/** The unit queues here. Attempts of its tasks may have been seen on machines before. */
 export function addUnit(part: Part, unit: Unit): void {
+  unit.attempts = part.attempts;
+  for (const number of part.attempts.tasksOf(unit.spec.ref)) withhold(unit, number - unit.lo);
   part.units.set(unit.key, unit);
   const same = part.byRef.get(unit.spec.ref);
   if (same === undefined) part.byRef.set(unit.spec.ref, new Set([unit]));
   else same.add(unit);
 }
 
+/** The unit that a task of a job belongs to here, and the task's number within it. */
+export function findUnit(part: Part, ref: string, number: number): { unit: Unit; task: number } | null {
+  for (const unit of part.byRef.get(ref) ?? []) if (number >= unit.lo && number < unit.hi) return { unit, task: number - unit.lo };
+  return null;
+}
+
 export function removeUnit(part: Part, unit: Unit): void {
   part.units.delete(unit.key);
   const same = part.byRef.get(unit.spec.ref);
--- a/src/parts/report-desk.ts
+++ b/src/parts/report-desk.ts
@@ -80,10 +80,6 @@
       viaReport,
       leaseMs: this.led.settings.timing.leaseMs,
       coolMs: this.led.settings.timing.reportMs,
-      unitOf: (ref, task) => {
-        for (const unit of part.byRef.get(ref) ?? []) if (task >= unit.lo && task < unit.hi) return { unit, task: task - unit.lo };
-        return null;
-      },
       strangerOf: (ref) => this.stranger(ref),
     };
     const wasDraining = machine.draining;
--- a/src/parts/watch.ts
+++ b/src/parts/watch.ts
@@ -1,4 +1,5 @@
 import type { Machine } from "../workers/machine.js";
+import { isBrokenGang } from "../queue/unit.js";
 import { dropAll, leaseOver, newFindings } from "../workers/reports.js";
 import type { Consequences } from "./consequences.js";
 import type { Led } from "./led.js";
@@ -27,7 +28,7 @@
           machine.lost = true;
           machine.fenced = true;
           const findings = newFindings();
-          dropAll(machine, this.led.now, findings);
+          dropAll(part, machine, this.led.now, findings);
           findings.changed = true;
           this.led.scope.log.info({ part: part.id, host: machine.host }, "machine lost: its lease ran out");
           this.consequences.act(part, findings);
@@ -58,7 +59,7 @@
     );
     // Gangs found incomplete cannot be completed by a new attempt: bring them down.
     for (const unit of part.units.values()) {
-      if (unit.spec.kind === "gang" && unit.placed.size > 0 && unit.waiting.length > 0) this.consequences.bringDown(part, unit);
+      if (isBrokenGang(unit)) this.consequences.bringDown(part, unit);
       if (unit.done.count > 0) this.progress.record(part, unit);
     }
     this.led.wake();
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -51,8 +51,8 @@
 
 export function ready(unit: Unit, now: number): boolean {
   if (unit.ended || unit.leaving || unit.waiting.length === 0 || unit.notBefore > now || mayStart(unit) === 0) return false;
-  // A gang starts anew only when all of its former attempt is gone.
-  return unit.spec.kind !== "gang" || unit.placed.size === 0;
+  // A gang starts anew only when all of its former attempts are gone, those included that nobody wanted.
+  return unit.spec.kind !== "gang" || !unit.attempts.hasJob(unit.spec.ref);
 }
 
 /** Machines on which tasks were told to stop, with the room that makes. */
--- a/src/queue/unit.ts
+++ b/src/queue/unit.ts
@@ -1,6 +1,7 @@
 import { Bits } from "../platform/bits.js";
 import type { JobSpec, Urgency } from "@thorntrail/protocol/jobs";
 import type { TaskState } from "@thorntrail/protocol/worker";
+import { AttemptRegistry } from "./attempts.js";
 
 /** One attempt at one task on one machine, from its start order until proven gone. */
 export interface Placement {
@@ -33,9 +34,12 @@
   lo: number;
   hi: number;
   done: Bits;
-  /** Tasks neither done nor placed, in the order they should start. */
+  /** Tasks neither done nor with an attempt that may be on a machine, in the order they should start. */
   waiting: number[];
+  /** The attempt of each task that is wanted; others of it may still be on machines, see `attempts`. */
   placed: Map<number, Placement>;
+  /** All attempts that may be on machines of its partition, of this job and others. */
+  attempts: AttemptRegistry<Placement>;
   submittedWall: number;
   arrivedAt: number;
   moved: boolean;
@@ -43,6 +47,8 @@
   weighed: boolean;
   /** A transaction that gives it away is under way: it must not be started. */
   leaving: boolean;
+  /** Tasks from here on are being given away as a slice, and must not be started; infinite: none are. */
+  leavingFrom: number;
   started: boolean;
   notBefore: number;
   failures: number;
@@ -76,11 +82,13 @@
     done,
     waiting,
     placed: new Map(),
+    attempts: new AttemptRegistry(),
     submittedWall,
     arrivedAt: now,
     moved: false,
     weighed: false,
     leaving: false,
+    leavingFrom: Infinity,
     started: false,
     notBefore: -Infinity,
     failures: 0,
@@ -95,25 +103,31 @@
 export function place(unit: Unit, placement: Placement): void {
   unit.placed.set(placement.task, placement);
   unit.started = true;
-  const at = unit.waiting.indexOf(placement.task);
+  withhold(unit, placement.task);
+}
+
+/** An attempt of the task may be on a machine, wanted or not: it does not wait. */
+export function withhold(unit: Unit, task: number): void {
+  const at = unit.waiting.indexOf(task);
   if (at >= 0) unit.waiting.splice(at, 1);
 }
 
-/** The attempt is proven gone: the task may start again unless it is done. */
+/** The attempt is proven gone, and off the registry. */
 export function release(unit: Unit, placement: Placement): void {
-  if (unit.placed.get(placement.task) !== placement) return;
-  unit.placed.delete(placement.task);
-  if (!unit.done.has(placement.task) && !unit.waiting.includes(placement.task)) {
-    unit.waiting.unshift(placement.task);
-  }
+  if (unit.placed.get(placement.task) === placement) unit.placed.delete(placement.task);
+  requeue(unit, placement.task);
+}
+
+/** The task waits again, unless it is done, being given away, or an attempt of it may still be on a machine. */
+export function requeue(unit: Unit, task: number): void {
+  if (unit.done.has(task) || task >= unit.leavingFrom || unit.attempts.hasTask(unit.spec.ref, unit.lo + task)) return;
+  if (!unit.waiting.includes(task)) unit.waiting.unshift(task);
 }
 
 function markDone(unit: Unit, task: number): void {
   unit.done.set(task);
   // What is on a machine does not wait: no need to look for it among tens of thousands.
-  if (unit.placed.has(task)) return;
-  const at = unit.waiting.indexOf(task);
-  if (at >= 0) unit.waiting.splice(at, 1);
+  if (!unit.placed.has(task)) withhold(unit, task);
 }
 
 /** A task completed; a gang completes together: when one of its tasks is done, all are. */
@@ -125,10 +139,16 @@
   else markDone(unit, task);
 }
 
-/** How many of the last tasks wait, none of them placed or done; counts no further than `most`. */
+/** A gang of which some tasks are placed, and others neither placed nor done: they will never be complete. */
+export function isBrokenGang(unit: Unit): boolean {
+  return unit.spec.kind === "gang" && unit.placed.size > 0 && unit.placed.size + unit.done.count < unit.hi - unit.lo;
+}
+
+/** How many of the last tasks wait, none of them done or with an attempt that may be on a machine; counts no further than `most`. */
 export function tailOf(unit: Unit, most: number): number {
+  const waits = (task: number): boolean => !unit.done.has(task) && !unit.attempts.hasTask(unit.spec.ref, unit.lo + task);
   let n = 0;
-  for (let task = unit.hi - unit.lo - 1; task >= 0 && n < most && !unit.placed.has(task) && !unit.done.has(task); task--) n++;
+  for (let task = unit.hi - unit.lo - 1; task >= 0 && n < most && waits(task); task--) n++;
   return Math.min(n, unit.waiting.length);
 }
 
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -1,4 +1,5 @@
 import type { ReportedTask } from "@thorntrail/protocol/worker";
+import { AttemptRegistry } from "../queue/attempts.js";
 import type { Placement } from "../queue/unit.js";
 
 export interface Capacity {
@@ -55,6 +56,8 @@
   used: Capacity;
   /** Of its part: what each team's tasks use; kept up together with `used`. */
   books: Map<string, Usage>;
+  /** Of its part: every attempt that may be on one of its machines; kept up together with `used`. */
+  attempts: AttemptRegistry<Placement>;
 }
 
 export interface Usage {
@@ -100,6 +103,7 @@
     pace: { sum: 0, count: 0 },
     used: { cpus: 0, gpus: 0, ram: 0 },
     books: new Map(),
+    attempts: new AttemptRegistry(),
   };
 }
 
@@ -122,6 +126,7 @@
 /** Every attempt goes on and off a machine through these two, so that sums need not be made anew. */
 export function hold(machine: Machine, key: string, placement: Placement): void {
   machine.placements.set(key, placement);
+  machine.attempts.add(placement);
   count(machine, placement, 1);
 }
 
@@ -129,6 +134,7 @@
   const placement = machine.placements.get(key);
   if (placement === undefined) return;
   machine.placements.delete(key);
+  machine.attempts.remove(placement);
   count(machine, placement, -1);
 }
 
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -1,6 +1,18 @@
 import type { Order, Report, ReportedTask } from "@thorntrail/protocol/worker";
-import type { Part } from "../parts/part.js";
-import { markFinished, pieceName, place, release, suspect, type Placement, type Unit } from "../queue/unit.js";
+import { findUnit, type Part } from "../parts/part.js";
+import { taskNumber } from "../queue/attempts.js";
+import {
+  isBrokenGang,
+  markFinished,
+  pieceName,
+  place,
+  release,
+  requeue,
+  suspect,
+  withhold,
+  type Placement,
+  type Unit,
+} from "../queue/unit.js";
 import type { End, Ended } from "../served/account.js";
 import { attemptKey, hold, letGo, type Machine } from "./machine.js";
 
@@ -24,8 +36,6 @@
   now: number;
   /** Sent by the worker itself, not the body of an answer to us. */
   viaReport: boolean;
-  /** Finds a slice of this part by job and task number. */
-  unitOf: (ref: string, task: number) => { unit: Unit; task: number } | null;
   /** A stand-in for work that belongs elsewhere or has ended, so that its use counts. */
   strangerOf: (ref: string) => Unit;
   leaseMs: number;
@@ -42,21 +52,31 @@
 }
 
 /** Takes an attempt off its machine: it is proven gone there. */
-function gone(machine: Machine, key: string, placement: Placement, now: number, findings: Findings, end: End, kept = false): void {
+function gone(
+  part: Part,
+  machine: Machine,
+  key: string,
+  placement: Placement,
+  now: number,
+  findings: Findings,
+  end: End,
+  kept = false,
+): void {
   const { runningAt, timed } = placement;
   findings.ended.push({ placement, end, kept, ranS: runningAt === null || !timed ? 0 : Math.max(0, now - runningAt) / 1000 });
   letGo(machine, key);
   release(placement.unit, placement);
+  // Seen before its job was known here, or while another unit had the task.
+  const found = findUnit(part, placement.unit.spec.ref, taskNumber(placement));
+  if (found !== null && found.unit !== placement.unit) requeue(found.unit, found.task);
   findings.changed = true;
-  if (placement.unit.spec.kind === "gang" && placement.unit.placed.size > 0 && !placement.unit.done.full) {
-    findings.broken.add(placement.unit);
-  }
+  if (isBrokenGang(placement.unit)) findings.broken.add(placement.unit);
   if (machine.placements.size === 0) machine.idleSince = now;
 }
 
 /** The worker's lease ran out, the machine was deleted, or a new session began. */
-export function dropAll(machine: Machine, now: number, findings: Findings): void {
-  for (const [key, placement] of [...machine.placements]) gone(machine, key, placement, now, findings, "machine");
+export function dropAll(part: Part, machine: Machine, now: number, findings: Findings): void {
+  for (const [key, placement] of [...machine.placements]) gone(part, machine, key, placement, now, findings, "machine");
   machine.exited.clear();
 }
 
@@ -119,7 +139,7 @@
     default:
       break;
   }
-  gone(machine, key, placement, context.now, findings, endOf(task, unit), task.saved);
+  gone(part, machine, key, placement, context.now, findings, endOf(task, unit), task.saved);
 }
 
 function endOf({ cause }: ReportedTask, unit: Unit): End {
@@ -129,9 +149,9 @@
   return cause === "mates_gone" || cause === "alone" ? "mates" : "refused";
 }
 
-function adopt(machine: Machine, task: ReportedTask, context: ReportContext): Placement {
+function adopt(part: Part, machine: Machine, task: ReportedTask, context: ReportContext): Placement {
   const { ref, task: number } = splitPiece(task.piece);
-  const found = context.unitOf(ref, number);
+  const found = findUnit(part, ref, number);
   const placement: Placement = {
     unit: found?.unit ?? context.strangerOf(ref),
     task: found?.task ?? number,
@@ -150,14 +170,30 @@
     found !== null &&
     !found.unit.ended &&
     !found.unit.leaving &&
+    found.task < found.unit.leavingFrom &&
     !found.unit.done.has(found.task) &&
     !found.unit.placed.has(found.task) &&
     (found.unit.spec.kind !== "gang" || mates!.every((mate) => mate.attempt === task.attempt));
   if (welcome) place(found.unit, placement);
-  else placement.stop = { graceS: 0 };
+  else {
+    placement.stop = { graceS: 0 };
+    if (found !== null) withhold(found.unit, found.task);
+  }
   return placement;
 }
 
+/**
+ * Finished under a former leader who did not live to record it. Looked at in each report that lists it: its job may
+ * become known only later, and then its task must not start again.
+ */
+function noteResult(part: Part, { piece }: ReportedTask, findings: Findings): void {
+  const { ref, task: number } = splitPiece(piece);
+  const found = findUnit(part, ref, number);
+  if (found === null || found.unit.done.has(found.task)) return;
+  markFinished(found.unit, found.task);
+  findings.finished.add(found.unit);
+}
+
 function isNewer(machine: Machine, report: Report): boolean {
   return report.session > machine.session || (report.session === machine.session && report.seq > machine.seq);
 }
@@ -171,7 +207,7 @@
   if (report.session > machine.session) {
     // The worker killed and forgot everything when its lease ran out; whatever
     // was still on its way to it belongs to the former session and has no effect.
-    if (machine.session > 0) dropAll(machine, context.now, findings);
+    if (machine.session > 0) dropAll(part, machine, context.now, findings);
     machine.held.clear();
     machine.session = report.session;
     // A session is a lease of its own, whoever answers: it began by now at the latest, and what is started in it by direct
@@ -201,24 +237,13 @@
     listed.add(key);
     let placement = machine.placements.get(key);
     if (task.state === "exited") {
-      if (machine.exited.has(key)) continue;
       machine.exited.set(key, task);
-      if (placement === undefined) {
-        if (task.cause !== "done") continue;
-        // Finished under a former leader who did not live to record it.
-        const { ref, task: number } = splitPiece(task.piece);
-        const found = context.unitOf(ref, number);
-        if (found !== null && !found.unit.done.has(found.task)) {
-          markFinished(found.unit, found.task);
-          findings.finished.add(found.unit);
-        }
-        continue;
-      }
-      exits(part, machine, key, placement, task, context, findings);
+      if (placement !== undefined) exits(part, machine, key, placement, task, context, findings);
+      else if (task.cause === "done") noteResult(part, task, findings);
       continue;
     }
     if (placement === undefined) {
-      placement = adopt(machine, task, context);
+      placement = adopt(part, machine, task, context);
       hold(machine, key, placement);
       findings.changed = true;
     }
@@ -234,13 +259,13 @@
     if (listed.has(key)) continue;
     if (placement.state !== null) {
       // It was there and is no longer listed, within one session: only `clear` does that.
-      gone(machine, key, placement, context.now, findings, "unseen");
+      gone(part, machine, key, placement, context.now, findings, "unseen");
       continue;
     }
     // An order in an answer is executed before the next report or never; a direct
     // one without an answer may still come, so its attempt stays counted.
     const settled = placement.direct === "none" && context.viaReport && report.seq > placement.offeredSeq;
-    if (settled && (placement.stop !== null || placement.unit.ended)) gone(machine, key, placement, context.now, findings, "unseen");
+    if (settled && (placement.stop !== null || placement.unit.ended)) gone(part, machine, key, placement, context.now, findings, "unseen");
   }
   return true;
 }
--- a/test/attempts.test.ts
+++ b/test/attempts.test.ts
@@ -47,10 +47,6 @@
       viaReport: true,
       leaseMs: 18_000,
       coolMs: 0,
-      unitOf: (ref, task) => {
-        for (const unit of this.part.byRef.get(ref) ?? []) if (task >= unit.lo && task < unit.hi) return { unit, task: task - unit.lo };
-        return null;
-      },
       strangerOf: (ref) =>
         Object.assign(queueUp({ ...this.part, units: new Map(), byRef: new Map() }, specOf({ ref, cpus: 0 })), { ended: true }),
     };
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -27,7 +27,6 @@
     viaReport: true,
     leaseMs: 18_000,
     coolMs: 2500,
-    unitOf: () => null,
     strangerOf: () => {
       throw new Error("no stranger here");
     },
--- a/test/growth.test.ts
+++ b/test/growth.test.ts
@@ -56,7 +56,6 @@
     viaReport: true,
     leaseMs: 18_000,
     coolMs: 2500,
-    unitOf: (_ref: string, task: number) => ({ unit, task }),
     strangerOf: () => unit,
   };
   assert.ok(takeReport(part, machine, { ...report, seq: 1, tasks }, context, newFindings()));
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -137,7 +137,6 @@
 const context: ReportContext = {
   now: NOW,
   viaReport: true,
-  unitOf: () => null,
   strangerOf: () => {
     throw new Error("nobody's");
   },
@@ -168,7 +167,7 @@
     tasks,
   });
   const hear = (seq: number, tasks: ReportedTask[] = []): void =>
-    void takeReport(part, machine, report(seq, tasks), { ...context, unitOf: () => ({ unit, task: 0 }) }, newFindings());
+    void takeReport(part, machine, report(seq, tasks), context, newFindings());
   return { part, unit, machine, placement, piece, hear };
 }
 
@@ -192,7 +191,7 @@
 test("a session that is known from the reply to a command alone is a lease of its own, and its machine gets no new work", () => {
   // What is guarded against: a machine that reaches no controller was counted as lost a lease after its last answer, while
   // what had been started in its next session, which it told us in a reply, ran on; all of that was started elsewhere.
-  const { part, unit, machine, piece, hear } = startedUnheard();
+  const { part, machine, piece, hear } = startedUnheard();
   const leaseMs = 18_000;
   hear(2);
   noteAnswer(machine, true, NOW);
@@ -209,7 +208,7 @@
       noticeS: null,
       tasks,
     };
-    const at = { ...context, now, viaReport: false, unitOf: () => ({ unit, task: 0 }) };
+    const at = { ...context, now, viaReport: false };
     takeReport(part, machine, report, at, newFindings());
   };
   const running: ReportedTask = { piece, attempt: part.term, state: "running", cause: null, saved: false };
--- a/test/returns.test.ts
+++ b/test/returns.test.ts
@@ -126,7 +126,6 @@
           viaReport: true,
           leaseMs: 18_000,
           coolMs: 2500,
-          unitOf: () => ({ unit, task: 0 }),
           strangerOf: () => unit,
         };
         assert.equal(takeReport(part, machine, seen, context, findings), newer);
--- a/test/world/lease-model.ts
+++ b/test/world/lease-model.ts
@@ -1,5 +1,5 @@
 import type { Report } from "@thorntrail/protocol/worker";
-import { addUnit, newPart } from "../../src/parts/part.js";
+import { addMachine, addUnit, newPart } from "../../src/parts/part.js";
 import { Bits } from "../../src/platform/bits.js";
 import { newUnit } from "../../src/queue/unit.js";
 import { newMachine, type Machine } from "../../src/workers/machine.js";
@@ -67,7 +67,8 @@
   const machine: Machine = newMachine("i-1", "m", "a", false, { cpus: 9, gpus: 0, ram: 9 }, 0);
   const { holds, ...rest } = state.heard!;
   const { session, seq, heardAt, answeredAt, fenced, lost } = rest;
-  Object.assign(machine, { up: true, addr: "x", session, seq, heardAt, answeredAt, fenced, lost, books: part.usage });
+  Object.assign(machine, { up: true, addr: "x", session, seq, heardAt, answeredAt, fenced, lost });
+  addMachine(part, machine);
   const hear = (report: Report, now: number, viaReport = true): boolean =>
     takeReport(
       part,
@@ -78,7 +79,6 @@
         viaReport,
         leaseMs: LEASE,
         coolMs: 1,
-        unitOf: () => ({ unit, task: 0 }),
         strangerOf: () => unit,
       },
       newFindings(),
@@ -90,7 +90,7 @@
     hear(reportOf({ session, seq, token: OLD, task: true }), 0);
     Object.assign(machine, { lost: wasLost, fenced: wasFenced, heardAt: before });
   }
-  return { machine, unit, hear };
+  return { part, machine, unit, hear };
 }
 
 function keep(machine: Machine): NonNullable<State["heard"]> {
@@ -136,10 +136,10 @@
       // The heir looks at the time first, as its watch does.
       const s = { ...from };
       if (s.heard !== null && !s.heard.lost) {
-        const { machine } = heirOf(s);
+        const { part, machine } = heirOf(s);
         if (leaseOver(machine, now, LEASE)) {
           machine.lost = machine.fenced = true;
-          dropAll(machine, now, newFindings());
+          dropAll(part, machine, now, newFindings());
           s.heard = keep(machine);
         }
       }
--- a/test/world/parts.ts
+++ b/test/world/parts.ts
@@ -1,5 +1,5 @@
 import type { JobSpec } from "@thorntrail/protocol/jobs";
-import { addUnit, newPart, type Part } from "../../src/parts/part.js";
+import { addMachine, addUnit, newPart, type Part } from "../../src/parts/part.js";
 import { Bits } from "../../src/platform/bits.js";
 import { localOrder } from "../../src/queue/order.js";
 import type { PassContext } from "../../src/queue/pass.js";
@@ -67,7 +67,7 @@
   let looks = 0;
   for (let i = 0; i < n; i++) {
     const machine: Machine = newMachine(`i-${i}`, "m", "a", false, capacity, 0);
-    Object.assign(machine, { up: true, fenced: true, heardAt: NOW, reportedAt: NOW, session: 1, token: 5, books: part.usage });
+    Object.assign(machine, { up: true, fenced: true, heardAt: NOW, reportedAt: NOW, session: 1, token: 5 });
     const images = new Set<string>();
     Object.defineProperty(machine, "images", {
       get: () => {
@@ -75,7 +75,7 @@
         return images;
       },
     });
-    part.machines.set(machine.host, machine);
+    addMachine(part, machine);
   }
   return { part, looks: () => looks };
 }
