reports.ts split by duty; starts asserted where they leave; audit log of attempts, fences, claims and silence

Report intake, lease accounting, orders, blame and fencing are modules of their own; fenced is set in one place and says by which proof. A start for a task with another attempt counted is refused before it is sent, logged at error with both attempts, machines, sessions and term, counted as thorntrail_invariant_violations_total, and thrown in virtual time; a planted second start shows it.

--- a/src/exchange/moving.ts
+++ b/src/exchange/moving.ts
@@ -14,6 +14,7 @@
   /** Until the transaction's answer is certain, the job must not be started here. */
   move(part: Part, unit: Unit, to: number): void {
     unit.leaving = true;
+    this.around.scope.log.debug({ part: part.id, term: part.term, to, job: unit.spec.ref }, "migration begun");
     const draft = () => {
       const entry = this.around.mirror.get<JobRecord>(unit.key);
       if (entry === undefined || partOf(entry.v) !== part.id || entry.v.end !== undefined) return null;
@@ -28,7 +29,7 @@
     };
     void this.around.committer.commit("move", draft).then((outcome) => {
       if (outcome === "shed") unit.leaving = false;
-      this.around.scope.log.debug({ part: part.id, to, job: unit.spec.ref, outcome }, "job moved");
+      this.around.scope.log.debug({ part: part.id, term: part.term, to, job: unit.spec.ref, outcome }, "job moved");
     });
   }
 
@@ -44,6 +45,7 @@
     const lo = whole - count;
     const migrating = unit.waiting.filter((task) => task >= lo);
     unit.leavingFrom = lo;
+    this.around.scope.log.debug({ part: part.id, term: part.term, to, job: unit.spec.ref, from: lo, tasks: count }, "migration begun");
     unit.waiting = unit.waiting.filter((task) => task < lo);
     const { ref } = unit.spec;
     const key = keys.slice(ref, lo);
--- a/src/intake/jobs.ts
+++ b/src/intake/jobs.ts
@@ -180,6 +180,8 @@
       }
     }
     const status = fate ?? (running > 0 || done > 0 ? "running" : "queued");
+    if (this.scope.log.isLevelEnabled("debug"))
+      this.scope.log.debug({ job: ref, status, done, readAgoMs: Math.round(this.mirror.ageMs()) }, "answer to a user");
     return { status: 200, body: { ref, status, done, running } };
   }
 }
--- /dev/null
+++ b/src/parts/audit.ts
@@ -0,0 +1,76 @@
+/**
+ * The audit log: why a start, a stop or a restart was allowed. One line an event, with the same field names everywhere, so
+ * that the life of one task can be put together from the logs of all controllers (docs/operations.md).
+ */
+import type { Log } from "../platform/log.js";
+import { pieceName, type Placement } from "../queue/unit.js";
+import { taskNumber } from "../queue/attempts.js";
+import type { Ended } from "../served/account.js";
+import type { FenceProof, Machine } from "../workers/machine.js";
+import type { Part } from "./part.js";
+
+/** Placeholders for unknown work begin their numbers at 0: theirs are the job's own. */
+function pieceOf(placement: Placement): string {
+  return placement.unit.lo === 0 ? pieceName(placement.unit, placement.task) : `${placement.unit.spec.ref}/${taskNumber(placement)}`;
+}
+
+export class Audit {
+  constructor(
+    private readonly log: Log,
+    /** Age of what is known of the state service, in ms. */
+    private readonly readAgoMs: () => number,
+  ) {}
+
+  /** Fields that say which attempt it is, and by which right it is spoken of. */
+  private attempt(part: Part, placement: Placement): Record<string, unknown> {
+    return {
+      part: part.id,
+      term: part.term,
+      piece: pieceOf(placement),
+      attempt: placement.attempt,
+      host: placement.host,
+      session: part.machines.get(placement.host)?.session,
+      readAgoMs: Math.round(this.readAgoMs()),
+    };
+  }
+
+  private get verbose(): boolean {
+    return this.log.isLevelEnabled("debug");
+  }
+
+  /** The scheduling cycle gave the task to the machine; no other attempt of it may be on one. */
+  ordered(part: Part, placement: Placement): void {
+    if (this.verbose) this.log.debug(this.attempt(part, placement), "attempt ordered");
+  }
+
+  adopted(part: Part, placement: Placement, wanted: boolean): void {
+    if (wanted) {
+      if (this.verbose) this.log.debug({ ...this.attempt(part, placement), state: placement.state }, "attempt adopted");
+      return;
+    }
+    if (!this.log.isLevelEnabled("info")) return;
+    const others = placement.unit.attempts.others(placement).map(({ attempt, host }) => ({ attempt, host }));
+    this.log.info(
+      { ...this.attempt(part, placement), state: placement.state, others },
+      "attempt adopted, not wanted: told to stop, its task waits",
+    );
+  }
+
+  /** Proven gone: `end` says by what. */
+  gone(part: Part, { placement, end, kept }: Ended): void {
+    if (this.verbose) this.log.debug({ ...this.attempt(part, placement), state: placement.state, end, kept }, "attempt gone");
+  }
+
+  fenced(part: Part, machine: Machine, proof: FenceProof): void {
+    if (!this.verbose) return;
+    const { host, session, token } = machine;
+    this.log.debug({ part: part.id, term: part.term, host, session, token, proof }, "machine fenced");
+  }
+
+  /** The worker is told to forget a result that is durable, or an attempt without one. */
+  cleared(part: Part, machine: Machine, piece: string, attempt: number): void {
+    if (!this.verbose) return;
+    const { host, session } = machine;
+    this.log.debug({ part: part.id, term: part.term, piece, attempt, host, session }, "attempt cleared");
+  }
+}
--- a/src/parts/consequences.ts
+++ b/src/parts/consequences.ts
@@ -1,5 +1,5 @@
 import type { Unit, Placement } from "../queue/unit.js";
-import type { Findings } from "../workers/reports.js";
+import type { Findings } from "../workers/report-intake.js";
 import type { Led } from "./led.js";
 import type { Part } from "./part.js";
 import type { Progress } from "./progress.js";
@@ -23,8 +23,14 @@
       this.judgePace(part, unit, seconds, host);
       this.led.history.note(unit.spec, seconds);
     }
+    const { audit } = this.led;
+    for (const { machine, proof } of findings.fenced) audit.fenced(part, machine, proof);
+    for (const { placement, wanted } of findings.adopted) audit.adopted(part, placement, wanted);
     for (const placement of findings.began) this.began(part, placement);
-    for (const ended of findings.ended) this.led.account.ended(ended);
+    for (const ended of findings.ended) {
+      audit.gone(part, ended);
+      this.led.account.ended(ended);
+    }
     for (const unit of findings.broken) this.bringDown(part, unit);
     if (findings.changed) this.led.wake();
   }
--- a/src/parts/holdings.ts
+++ b/src/parts/holdings.ts
@@ -5,7 +5,9 @@
 import type { Needs } from "../pipelines/needs.js";
 import { newUnit, shorten, type Unit } from "../queue/unit.js";
 import { newMachine, type Machine } from "../workers/machine.js";
-import { acquit, dropAll, newFindings } from "../workers/reports.js";
+import { fence } from "../workers/fence.js";
+import { clearBlame } from "../workers/blame.js";
+import { dropAll, newFindings } from "../workers/report-intake.js";
 import type { Consequences } from "./consequences.js";
 import type { Led } from "./led.js";
 import { addMachine, addUnit, newPart, removeUnit, type Part } from "./part.js";
@@ -58,7 +60,10 @@
     const ours = entry !== undefined && entry.v.owner === this.led.settings.self && entry.v.life === this.life;
     if (held !== undefined && (!ours || held.term !== entry.stamp)) {
       this.led.parts.delete(id);
-      this.led.scope.log.info({ part: id, term: held.term, now: entry?.v.owner }, "part lost");
+      this.led.scope.log.info(
+        { part: id, term: held.term, now: entry?.v.owner, nowTerm: entry?.stamp, readAgoMs: Math.round(this.mirror.ageMs()) },
+        "part lost",
+      );
     }
     if (ours && !this.led.parts.has(id)) void this.takeFresh(id, entry.stamp);
   }
@@ -92,7 +97,11 @@
     for (const { host, part: of } of this.rentals.all()) if (of === id) this.reviewMachine(host);
     for (const key of this.mirror.openJobs().keys()) this.reviewWork(key);
     for (const key of this.mirror.rows(keys.slices).keys()) this.reviewWork(key);
-    this.led.scope.log.info({ part: id, term, machines: part.machines.size, queue: part.units.size }, "leading; fencing machines");
+    const readAgoMs = Math.round(this.mirror.ageMs());
+    this.led.scope.log.info(
+      { part: id, term, life: this.life, readAgoMs, machines: part.machines.size, queue: part.units.size },
+      "leading; fencing machines",
+    );
     this.watch.look();
   }
 
@@ -122,7 +131,7 @@
       fresh.addr = entry.addr;
       fresh.idleSince = this.led.now;
       // A machine whose record never said `up` was never given work.
-      fresh.fenced = !fresh.up;
+      if (!fresh.up) fence(part, fresh, "unused", []);
       // The former leader may go on answering until it has to fall silent.
       fresh.answeredAt = fresh.up ? this.led.now + this.led.settings.timing.silentAfterMs : -Infinity;
       if (fresh.up) fresh.reportedAt = this.led.now;
@@ -134,6 +143,7 @@
   forgetMachine(part: Part, machine: Machine): void {
     const findings = newFindings();
     dropAll(part, machine, this.led.now, findings);
+    fence(part, machine, "deleted", findings.fenced);
     part.machines.delete(machine.host);
     this.consequences.act(part, findings);
   }
@@ -192,7 +202,7 @@
 
   private endUnit(part: Part, unit: Unit): void {
     unit.ended = true;
-    acquit(part, unit);
+    clearBlame(part, unit);
     for (const placement of unit.placed.values()) {
       if (!unit.done.has(placement.task)) placement.stop = { graceS: 0 };
       const machine = part.machines.get(placement.host);
--- a/src/parts/leader.ts
+++ b/src/parts/leader.ts
@@ -15,6 +15,7 @@
 import type { Settings } from "../settings/derived.js";
 import type { Machine } from "../workers/machine.js";
 import type { QuotaShares } from "./quota-shares.js";
+import { Audit } from "./audit.js";
 import { CameUp } from "./came-up.js";
 import { Consequences } from "./consequences.js";
 import type { Guarantees, TeamUse } from "./guarantees.js";
@@ -25,6 +26,7 @@
 import { Progress } from "./progress.js";
 import { Recovery } from "./recovery.js";
 import { ReportDesk } from "./report-desk.js";
+import { StartGuard } from "./start-guard.js";
 import { summarize } from "./summary.js";
 import { Watch } from "./watch.js";
 
@@ -47,6 +49,9 @@
   /** When the last stall ended in which this node's presence may have run out. */
   private wokeAt = -Infinity;
   readonly account = new Account();
+  readonly audit: Audit;
+  readonly startGuard: StartGuard;
+  private wasSilent = false;
   private readonly shares: Shares;
   readonly stats: LeadStats = { starts: 0, takeovers: 0, preemptions: 0, fencedMs: 0 };
 
@@ -62,6 +67,8 @@
     overload: Overload,
     readonly scope: Scope,
   ) {
+    this.audit = new Audit(scope.log, () => mirror.ageMs());
+    this.startGuard = new StartGuard(scope);
     this.history = new RunHistory(settings.operators.queue.guesses);
     const progress = new Progress(this, mirror, committer);
     const consequences = new Consequences(this, progress, this.recovery);
@@ -86,7 +93,10 @@
     this.scope.routine(
       "watchdog",
       () => this.settings.timing.reportMs / 5,
-      () => this.scope.costs.spend("watch", () => this.watch.look()),
+      () => {
+        this.noteSilence();
+        this.scope.costs.spend("watch", () => this.watch.look());
+      },
     );
   }
 
@@ -104,6 +114,19 @@
     return this.mirror.ageMs() > this.settings.timing.silentAfterMs || this.mirror.provenAt < this.wokeAt;
   }
 
+  /** Between these two lines this node answered no worker and ordered nothing. */
+  private noteSilence(): void {
+    const silent = this.silent();
+    if (silent === this.wasSilent || this.parts.size === 0) return;
+    this.wasSilent = silent;
+    const terms = Object.fromEntries([...this.parts.values()].map(({ id, term }) => [id, term]));
+    const readAgoMs = Math.round(Math.min(this.mirror.ageMs(), Number.MAX_SAFE_INTEGER));
+    this.scope.log.info(
+      { terms, readAgoMs, silentAfterMs: Math.round(this.settings.timing.silentAfterMs) },
+      silent ? "silence begun: no proof of authority" : "silence ended",
+    );
+  }
+
   /**
    * Nobody else can lead our parts yet: our presence was there at the last proof, and lasts
    * longer than this. Later, machines that do not report may do so to another, who
--- a/src/parts/led.ts
+++ b/src/parts/led.ts
@@ -6,7 +6,9 @@
 import type { Settings } from "../settings/derived.js";
 import type { Machine } from "../workers/machine.js";
 import type { Account } from "../served/account.js";
+import type { Audit } from "./audit.js";
 import type { Part } from "./part.js";
+import type { StartGuard } from "./start-guard.js";
 
 export interface LeadStats {
   starts: number;
@@ -32,6 +34,8 @@
   readonly short$: Subject<{ part: Part; team: string; want: Shortage }>;
   /** Tasks that began to run, with their wait since submission. */
   readonly began$: Subject<{ klass: string; waitS: number }>;
+  readonly audit: Audit;
+  readonly startGuard: StartGuard;
   readonly now: number;
   /** No proof that all cancellations and takeovers are known: workers must not be answered. */
   silent(): boolean;
--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -149,7 +149,18 @@
         const term = this.around.mirror.stamp(key);
         const missing = before === undefined ? null : this.around.presence.missingMs(before.v.owner);
         this.around.taken(part, term, reason, missing === null ? null : Math.round(missing));
-        this.around.scope.log.info({ part, reason, term, former: before?.v.owner }, "part taken");
+        this.around.scope.log.info(
+          {
+            part,
+            reason,
+            term,
+            life: this.around.life,
+            former: before?.v.owner,
+            formerTerm: before?.stamp,
+            readAgoMs: Math.round(this.around.mirror.ageMs()),
+          },
+          "part taken",
+        );
       });
   }
 }
--- a/src/parts/part.ts
+++ b/src/parts/part.ts
@@ -1,6 +1,6 @@
 import type { JobSpec } from "@thorntrail/protocol/jobs";
 import type { AllotmentRecord } from "../ledger/records.js";
-import type { Machine, Usage } from "../workers/machine.js";
+import type { FenceProof, Machine, Usage } from "../workers/machine.js";
 import { AttemptRegistry } from "../queue/attempts.js";
 import { withhold, type Placement, type Unit } from "../queue/unit.js";
 
@@ -21,6 +21,8 @@
   attempts: AttemptRegistry<Placement>;
   /** Attempt numbers handed out in this term. */
   numbered: number;
+  /** How many of its machines became fenced by which proof, this term. */
+  fencedBy: Record<FenceProof, number>;
   /** What each team's tasks use here, counting all that may be on a machine. */
   usage: Map<string, Usage>;
 }
@@ -38,6 +40,7 @@
     byRef: new Map(),
     attempts: new AttemptRegistry(),
     numbered: 0,
+    fencedBy: { token: 0, lease: 0, unused: 0, deleted: 0 },
     usage: new Map(),
   };
 }
@@ -53,7 +56,7 @@
 
 /** The machine's use and its attempts are counted with the part's from now on. */
 export function addMachine(part: Part, machine: Machine): void {
-  machine.books = part.usage;
+  machine.teamUsage = part.usage;
   machine.attempts = part.attempts;
   part.machines.set(machine.host, machine);
 }
--- a/src/parts/placing.ts
+++ b/src/parts/placing.ts
@@ -127,6 +127,7 @@
       };
       const { costs } = this.led.scope;
       const result = costs.spend("pass", () => runPass(part, context));
+      for (const placement of result.placed) this.led.audit.ordered(part, placement);
       const patienceMs = this.led.settings.operators.exchange.phi * PREEMPT_AFTER_PHI * 1000;
       const chosen = costs.spend("preemption", () => choosePreemptions(part, { ...context, ...claims, patienceMs }));
       for (const placement of chosen) {
--- a/src/parts/progress.ts
+++ b/src/parts/progress.ts
@@ -2,7 +2,7 @@
 import type { Mirror } from "../ledger/mirror.js";
 import { doneOf, fitting, isDone, keys, partOf, settled, type JobRecord, type SliceRecord } from "../ledger/records.js";
 import type { Unit } from "../queue/unit.js";
-import { splitPiece } from "../workers/reports.js";
+import { splitPiece } from "../queue/unit.js";
 import type { Led } from "./led.js";
 import type { Part } from "./part.js";
 
--- a/src/parts/report-desk.ts
+++ b/src/parts/report-desk.ts
@@ -6,7 +6,9 @@
 import { Bits } from "../platform/bits.js";
 import { newUnit, type Unit } from "../queue/unit.js";
 import type { Machine } from "../workers/machine.js";
-import { newFindings, noteAnswer, ordersFor, takeReport, type ReportContext } from "../workers/reports.js";
+import { newFindings, takeReport, type ReportContext } from "../workers/report-intake.js";
+import { noteAnswer } from "../workers/lease.js";
+import { ordersFor } from "../workers/orders.js";
 import type { CameUp } from "./came-up.js";
 import type { Consequences } from "./consequences.js";
 import type { Led } from "./led.js";
@@ -45,8 +47,9 @@
     if (machine === undefined || machine.deleting) return { kind: "silent" };
     const newer = this.take(part, machine, report, true);
     if (!machine.up) this.cameUp.record(part, machine);
-    const orders = machine.up ? this.orders(machine) : [];
+    const orders = machine.up ? this.orders(part, machine) : [];
     const free = newer && machine.fenced;
+    if (free) for (const order of orders) if (order.verb === "clear") this.led.audit.cleared(part, machine, order.piece, order.attempt);
     if (free) for (const placement of machine.placements.values()) if (placement.state === null) placement.offeredSeq = report.seq;
     noteAnswer(machine, newer, this.led.now);
     // Every answer renews the lease, so each says what must end: a machine that hears nothing more would otherwise run
@@ -54,11 +57,12 @@
     return { kind: "orders", token: part.term, orders: free ? orders : orders.filter(({ verb }) => verb === "stop") };
   }
 
-  private orders(machine: Machine): Order[] {
+  private orders(part: Part, machine: Machine): Order[] {
     return ordersFor(machine, "report", {
       now: this.led.now,
       leaseMs: this.led.settings.timing.leaseMs,
       clearable: (task) => this.clearable(task),
+      refused: (placement, others) => this.led.startGuard.refused(part, placement, others),
       max: MAX_ORDERS,
     });
   }
@@ -80,7 +84,7 @@
       viaReport,
       leaseMs: this.led.settings.timing.leaseMs,
       coolMs: this.led.settings.timing.reportMs,
-      strangerOf: (ref) => this.stranger(ref),
+      placeholderFor: (ref) => this.placeholder(ref),
     };
     const wasDraining = machine.draining;
     const newer = takeReport(part, machine, report, context, findings);
@@ -92,7 +96,7 @@
   }
 
   /** Spec of a job that is not ours to run, so that what it uses still counts. */
-  private stranger(ref: string): Unit {
+  private placeholder(ref: string): Unit {
     const job = this.mirror.get<JobRecord>(keys.job(ref))?.v;
     const spec: JobSpec =
       job?.spec ??
@@ -118,7 +122,7 @@
         flushS: 0,
         deadlineS: null,
       } satisfies JobSpec);
-    const unit = newUnit(`stranger/${ref}`, { ...spec }, 0, 0, new Bits(0), 0, this.led.now);
+    const unit = newUnit(`placeholder/${ref}`, { ...spec }, 0, 0, new Bits(0), 0, this.led.now);
     unit.ended = true;
     return unit;
   }
--- a/src/parts/watch.ts
+++ b/src/parts/watch.ts
@@ -1,6 +1,8 @@
 import type { Machine } from "../workers/machine.js";
 import { isBrokenGang } from "../queue/unit.js";
-import { dropAll, leaseOver, newFindings } from "../workers/reports.js";
+import { fence } from "../workers/fence.js";
+import { dropAll, newFindings } from "../workers/report-intake.js";
+import { leaseOver } from "../workers/lease.js";
 import type { Consequences } from "./consequences.js";
 import type { Led } from "./led.js";
 import type { Part } from "./part.js";
@@ -26,11 +28,15 @@
         if (!machine.lost && leaseOver(machine, this.led.now, expiryMs)) {
           // Nobody answered it validly for longer than its lease: its tasks are gone.
           machine.lost = true;
-          machine.fenced = true;
           const findings = newFindings();
+          fence(part, machine, "lease", findings.fenced);
           dropAll(part, machine, this.led.now, findings);
           findings.changed = true;
-          this.led.scope.log.info({ part: part.id, host: machine.host }, "machine lost: its lease ran out");
+          const answeredAgoMs = Math.round(this.led.now - machine.answeredAt);
+          this.led.scope.log.info(
+            { part: part.id, term: part.term, host: machine.host, session: machine.session, answeredAgoMs, leaseMs: Math.round(expiryMs) },
+            "machine lost: its lease ran out",
+          );
           this.consequences.act(part, findings);
         }
         if (part.phase === "serving" && (machine.noticeAt !== null || machine.draining)) this.evacuate(part, machine);
@@ -54,7 +60,13 @@
     this.recovery.fenced(part, this.waitsFor.get(part) ?? null);
     this.led.stats.fencedMs = Math.round(this.led.now - part.since);
     this.led.scope.log.info(
-      { part: part.id, term: part.term, ms: Math.round(this.led.now - part.since), machines: part.machines.size },
+      {
+        part: part.id,
+        term: part.term,
+        ms: Math.round(this.led.now - part.since),
+        machines: part.machines.size,
+        fencedBy: part.fencedBy,
+      },
       "all machines accounted for; placing",
     );
     // Gangs found incomplete cannot be completed by a new attempt: bring them down.
--- a/src/platform/scope.ts
+++ b/src/platform/scope.ts
@@ -1,6 +1,7 @@
 import { Observable, Subject, takeUntil, type Subscription } from "rxjs";
 import { sleep, type Clock } from "./clock.js";
 import { Costs } from "./costs.js";
+import { Invariants } from "./invariants.js";
 import type { Log } from "./log.js";
 
 /**
@@ -15,10 +16,11 @@
     readonly clock: Clock,
     readonly log: Log,
     readonly costs: Costs = new Costs(),
+    readonly invariants: Invariants = new Invariants(log),
   ) {}
 
   child(): Scope {
-    const scope = new Scope(this.clock, this.log, this.costs);
+    const scope = new Scope(this.clock, this.log, this.costs, this.invariants);
     this.onEnd(() => scope.close());
     return scope;
   }
--- a/src/queue/pass.ts
+++ b/src/queue/pass.ts
@@ -1,5 +1,5 @@
 import { nextAttempt, tasksWithin, usageByTeam, type Part, type Usage } from "../parts/part.js";
-import { attemptKey, freeRoom, hold, usable, type Capacity, type Machine } from "../workers/machine.js";
+import { attemptKey, freeRoom, addAttempt, usable, type Capacity, type Machine } from "../workers/machine.js";
 import { Hopeless } from "./hopeless.js";
 import { inOrder, type LocalOrder } from "./order.js";
 import { occupy, placeTasks, type Slot } from "./placement.js";
@@ -17,6 +17,8 @@
 export interface PassResult {
   /** Machines that have new orders. */
   touched: Set<Machine>;
+  /** What was placed. */
+  placed: Placement[];
   /** Slices held up by their team's allotment here, with the tasks that wait. */
   short: Map<string, Shortage>;
 }
@@ -93,7 +95,7 @@
 
 /** Goes over the queue once and gives out all the room there is. */
 export function runPass(part: Part, context: PassContext): PassResult {
-  const result: PassResult = { touched: new Set(), short: new Map() };
+  const result: PassResult = { touched: new Set(), placed: [], short: new Map() };
   if (part.phase !== "serving") return result;
   const waiting = [...part.units.values()].filter((unit) => ready(unit, context.now));
   if (waiting.length === 0) return result;
@@ -163,8 +165,9 @@
         offeredSeq: -1,
       };
       place(unit, placement);
-      hold(slot.machine, attemptKey(pieceName(unit, placement.task), placement.attempt), placement);
+      addAttempt(slot.machine, attemptKey(pieceName(unit, placement.task), placement.attempt), placement);
       result.touched.add(slot.machine);
+      result.placed.push(placement);
     });
     const taken = chosen.length + held;
     usage.set(spec.team, { cpus: used.cpus + spec.cpus * taken, gpus: used.gpus + spec.gpus * taken });
--- a/src/queue/unit.ts
+++ b/src/queue/unit.ts
@@ -66,6 +66,12 @@
   return `${unit.spec.ref}/${unit.lo + task}`;
 }
 
+/** Job and task number of a name as it is on the wire. */
+export function splitPiece(piece: string): { ref: string; task: number } {
+  const slash = piece.lastIndexOf("/");
+  return { ref: piece.slice(0, slash), task: Number(piece.slice(slash + 1)) };
+}
+
 function shapeOf(spec: JobSpec): string {
   return [spec.cpus, spec.gpus, spec.ram, spec.types?.join() ?? "", spec.zone ?? "", spec.spot, spec.oneZone, spec.spread].join("|");
 }
--- a/src/status/exposition.ts
+++ b/src/status/exposition.ts
@@ -54,6 +54,7 @@
       "Tasks waiting in this node's parts",
       sum((part) => [...part.units.values()].reduce((n, u) => n + u.waiting.length, 0)),
     );
+    gauge("invariant_violations_total", "Invariants that did not hold, each logged at error", () => leader.scope.invariants.violations);
     gauge("starts_total", "Tasks seen to begin", () => leader.stats.starts);
     gauge("preemptions_total", "Tasks stopped for work of higher priority", () => leader.stats.preemptions);
     gauge("takeovers_total", "Parts taken over", () => leader.stats.takeovers);
--- a/src/workers/dispatch.ts
+++ b/src/workers/dispatch.ts
@@ -7,7 +7,7 @@
 import type { Scope } from "../platform/scope.js";
 import { pieceName } from "../queue/unit.js";
 import { attemptKey, type Machine } from "./machine.js";
-import { ordersFor } from "./reports.js";
+import { ordersFor } from "./orders.js";
 
 const MAX_DIRECT = 100;
 
@@ -35,7 +35,13 @@
     if (!machine.up || now < machine.directUntil || (!fencing && machine.lost)) return;
     const orders = fencing
       ? []
-      : ordersFor(machine, "direct", { now, leaseMs: this.leader.settings.timing.leaseMs, clearable: () => false, max: MAX_DIRECT });
+      : ordersFor(machine, "direct", {
+          now,
+          leaseMs: this.leader.settings.timing.leaseMs,
+          clearable: () => false,
+          refused: (placement, others) => this.leader.startGuard.refused(part, placement, others),
+          max: MAX_DIRECT,
+        });
     if (!fencing && orders.length === 0) return;
     machine.directBusy = true;
     const caller = this.calls.of(fencing ? "worker.fence" : "worker.order");
@@ -47,13 +53,13 @@
     const session = Math.max(1, machine.session);
     const starts = orders.filter((o) => o.verb === "start").map((o) => attemptKey(o.piece, o.attempt));
     for (const key of starts) {
-      machine.held.add(key);
+      machine.unsettledStarts.add(key);
       machine.placements.get(key)!.direct = "flying";
     }
     const settle = (direct: "none" | "unresolved" | "answered"): void => {
       if (machine.session !== session) return; // a new session: nothing of this can take effect
       for (const key of starts) {
-        if (direct !== "unresolved") machine.held.delete(key);
+        if (direct !== "unresolved") machine.unsettledStarts.delete(key);
         const placement = machine.placements.get(key);
         if (placement !== undefined && placement.direct === "flying") placement.direct = direct;
       }
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -46,7 +46,7 @@
   placements: Map<string, Placement>;
   exited: Map<string, ReportedTask>;
   /** Attempts whose direct start may still arrive in this session. */
-  held: Set<string>;
+  unsettledStarts: Set<string>;
   directBusy: boolean;
   /** Direct commands that failed in a row, and until when none is sent. */
   directFailures: number;
@@ -55,11 +55,18 @@
   /** What `placements` take of it, kept up as they come and go. */
   used: Capacity;
   /** Of its part: what each team's tasks use; kept up together with `used`. */
-  books: Map<string, Usage>;
+  teamUsage: Map<string, Usage>;
   /** Of its part: every attempt that may be on one of its machines; kept up together with `used`. */
   attempts: AttemptRegistry<Placement>;
 }
 
+/**
+ * What proves that nothing a former owner ordered can begin on a machine. `token`: it showed the owner's token. `lease`:
+ * its lease is over, whoever answered it. `unused`: by its record it was never up, so nobody gave it work. `deleted`: the
+ * cloud confirmed that it is gone.
+ */
+export type FenceProof = "token" | "lease" | "unused" | "deleted";
+
 export interface Usage {
   cpus: number;
   gpus: number;
@@ -96,27 +103,27 @@
     images: new Set(),
     placements: new Map(),
     exited: new Map(),
-    held: new Set(),
+    unsettledStarts: new Set(),
     directBusy: false,
     directFailures: 0,
     directUntil: -Infinity,
     pace: { sum: 0, count: 0 },
     used: { cpus: 0, gpus: 0, ram: 0 },
-    books: new Map(),
+    teamUsage: new Map(),
     attempts: new AttemptRegistry(),
   };
 }
 
 function count(machine: Machine, { unit: { spec } }: Placement, sign: 1 | -1): void {
-  const { used, books } = machine;
+  const { used, teamUsage } = machine;
   if (sign < 0 && machine.placements.size === 0) machine.used = { cpus: 0, gpus: 0, ram: 0 };
   else {
     used.cpus += sign * spec.cpus;
     used.gpus += sign * spec.gpus;
     used.ram += sign * spec.ram;
   }
-  const team = books.get(spec.team);
-  if (team === undefined) books.set(spec.team, { cpus: sign * spec.cpus, gpus: sign * spec.gpus });
+  const team = teamUsage.get(spec.team);
+  if (team === undefined) teamUsage.set(spec.team, { cpus: sign * spec.cpus, gpus: sign * spec.gpus });
   else {
     team.cpus += sign * spec.cpus;
     team.gpus += sign * spec.gpus;
@@ -124,13 +131,13 @@
 }
 
 /** Every attempt goes on and off a machine through these two, so that sums need not be made anew. */
-export function hold(machine: Machine, key: string, placement: Placement): void {
+export function addAttempt(machine: Machine, key: string, placement: Placement): void {
   machine.placements.set(key, placement);
   machine.attempts.add(placement);
   count(machine, placement, 1);
 }
 
-export function letGo(machine: Machine, key: string): void {
+export function removeAttempt(machine: Machine, key: string): void {
   const placement = machine.placements.get(key);
   if (placement === undefined) return;
   machine.placements.delete(key);
--- a/test/attempts.test.ts
+++ b/test/attempts.test.ts
@@ -3,9 +3,14 @@
 import type { Report, ReportedTask } from "@thorntrail/protocol/worker";
 import { nextAttempt, type Part } from "../src/parts/part.js";
 import { ready, runPass } from "../src/queue/pass.js";
+import { StartGuard } from "../src/parts/start-guard.js";
+import { Invariants, InvariantViolated } from "../src/platform/invariants.js";
+import { Scope } from "../src/platform/scope.js";
 import { tailOf, type Unit } from "../src/queue/unit.js";
-import type { Machine } from "../src/workers/machine.js";
-import { newFindings, takeReport, type ReportContext } from "../src/workers/reports.js";
+import { addAttempt, type Machine } from "../src/workers/machine.js";
+import { ordersFor } from "../src/workers/orders.js";
+import { newFindings, takeReport, type ReportContext } from "../src/workers/report-intake.js";
+import { VirtualClock } from "@thorntrail/emulator/virtual/clock";
 import { NOW, partOf, pass, queueUp, specOf } from "./world/parts.js";
 
 /** A partition right after a takeover: what its machines tell is all that its owner knows of attempts. */
@@ -47,7 +52,7 @@
       viaReport: true,
       leaseMs: 18_000,
       coolMs: 0,
-      strangerOf: (ref) =>
+      placeholderFor: (ref) =>
         Object.assign(queueUp({ ...this.part, units: new Map(), byRef: new Map() }, specOf({ ref, cpus: 0 })), { ended: true }),
     };
   }
@@ -155,3 +160,37 @@
   assert.deepEqual(owner.startedOn(unit), []);
   assert.ok(unit.done.full);
 });
+
+test("a planted second start does not leave: refused on both channels, said at error once, counted, and thrown where strict", () => {
+  const owner = new NewOwner(2);
+  const unit = queueUp(owner.part, specOf({ cpus: 16 }));
+  const [host] = owner.startedOn(unit);
+  const placement = [...unit.placed.values()][0]!;
+  const other = owner.machine(host === "i-0" ? "i-1" : "i-0");
+  addAttempt(other, "run-000001/0#1", { ...placement, attempt: 1, host: other.host, state: "running" });
+  const lines: unknown[] = [];
+  const ignore = (): void => undefined;
+  const log = { error: (entry: unknown) => void lines.push(entry), warn: ignore, info: ignore, debug: ignore, isLevelEnabled: () => true };
+  const guardOf = (invariants: Invariants): StartGuard => new StartGuard(new Scope(new VirtualClock(), log, undefined, invariants));
+  const ordersOn = (channel: "report" | "direct", guard: StartGuard) =>
+    ordersFor(owner.machine(host!), channel, {
+      now: NOW,
+      leaseMs: 18_000,
+      clearable: () => true,
+      refused: (one, others) => guard.refused(owner.part, one, others),
+      max: 9,
+    });
+  const invariants = new Invariants(log);
+  const guard = guardOf(invariants);
+  assert.deepEqual([ordersOn("direct", guard), ordersOn("report", guard)], [[], []]);
+  assert.deepEqual([invariants.violations, lines.length], [1, 1]);
+  const [line] = lines as { piece: string; term: number; refused: { host: string }; others: { attempt: number; host: string }[] }[];
+  assert.deepEqual([line!.piece, line!.term, line!.refused.host], ["run-000001/0", 5, host]);
+  assert.deepEqual(
+    line!.others.map(({ attempt, host: at }) => [attempt, at]),
+    [[1, other.host]],
+  );
+  assert.throws(() => ordersOn("report", guardOf(new Invariants(log, true))), InvariantViolated);
+  owner.hear(other.host, []);
+  assert.equal(ordersOn("direct", guard).length, 1, "the other is proven gone");
+});
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -4,7 +4,7 @@
 import { ready, runPass } from "../src/queue/pass.js";
 import { suspect, type Unit } from "../src/queue/unit.js";
 import type { ReportedTask } from "@thorntrail/protocol/worker";
-import { newFindings, takeReport, type ReportContext } from "../src/workers/reports.js";
+import { newFindings, takeReport, type ReportContext } from "../src/workers/report-intake.js";
 import type { Part } from "../src/parts/part.js";
 import { NOW, partOf, pass, queueUp, specOf } from "./world/parts.js";
 
@@ -27,7 +27,7 @@
     viaReport: true,
     leaseMs: 18_000,
     coolMs: 2500,
-    strangerOf: () => {
+    placeholderFor: () => {
       throw new Error("no stranger here");
     },
   };
--- a/test/growth.test.ts
+++ b/test/growth.test.ts
@@ -8,7 +8,7 @@
 import { Hopeless } from "../src/queue/hopeless.js";
 import { RunHistory } from "../src/queue/history.js";
 import { runPass } from "../src/queue/pass.js";
-import { newFindings, takeReport } from "../src/workers/reports.js";
+import { newFindings, takeReport } from "../src/workers/report-intake.js";
 import { NOW, order, partOf, pass, queueUp, specOf, unlimited } from "./world/parts.js";
 
 // Hundreds of machines report every few seconds to controllers with a fifth of a
@@ -56,7 +56,7 @@
     viaReport: true,
     leaseMs: 18_000,
     coolMs: 2500,
-    strangerOf: () => unit,
+    placeholderFor: () => unit,
   };
   assert.ok(takeReport(part, machine, { ...report, seq: 1, tasks }, context, newFindings()));
   assert.equal(part.usage.get("ops")?.cpus, 4);
--- a/test/holding.test.ts
+++ b/test/holding.test.ts
@@ -3,7 +3,7 @@
 import { runPass } from "../src/queue/pass.js";
 import { choosePreemptions } from "../src/queue/preempt.js";
 import { release, type Placement } from "../src/queue/unit.js";
-import { attemptKey, letGo } from "../src/workers/machine.js";
+import { attemptKey, removeAttempt } from "../src/workers/machine.js";
 import { partOf, pass, queueUp, specOf } from "./world/parts.js";
 
 /** Stopped tasks exit one by one; the queue is gone over after each. */
@@ -18,7 +18,7 @@
   assert.equal(victims.length, 12);
   for (const victim of victims) victim.stop = { graceS: 0 };
   const exit = (placement: Placement): void => {
-    letGo(part.machines.get(placement.host)!, attemptKey(`${low.spec.ref}/${placement.task}`, placement.attempt));
+    removeAttempt(part.machines.get(placement.host)!, attemptKey(`${low.spec.ref}/${placement.task}`, placement.attempt));
     release(low, placement);
   };
   victims.forEach((victim, i) => {
@@ -39,7 +39,7 @@
   const small = queueUp(part, specOf({ ref: "run-000003", tasks: 3, cpus: 4, urgency: "low" }));
   const [first, second, third] = [...low.placed.values()];
   for (const placement of [first!, second!, third!]) {
-    letGo(part.machines.get(placement.host)!, attemptKey(`${low.spec.ref}/${placement.task}`, placement.attempt));
+    removeAttempt(part.machines.get(placement.host)!, attemptKey(`${low.spec.ref}/${placement.task}`, placement.attempt));
     low.placed.delete(placement.task);
   }
   runPass(part, pass);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -12,7 +12,9 @@
 import { spawnController } from "../src/rehearsal/spawn.js";
 import type { Report, ReportedTask } from "@thorntrail/protocol/worker";
 import { usable } from "../src/workers/machine.js";
-import { leaseOver, newFindings, noteAnswer, ordersFor, takeReport, type ReportContext } from "../src/workers/reports.js";
+import { leaseOver, noteAnswer } from "../src/workers/lease.js";
+import { newFindings, takeReport, type ReportContext } from "../src/workers/report-intake.js";
+import { ordersFor } from "../src/workers/orders.js";
 import { exploreLeases, type Wrong } from "./world/lease-model.js";
 import { NOW, partOf, pass, queueUp, specOf } from "./world/parts.js";
 import { playScenario } from "./world/scenario.js";
@@ -137,13 +139,13 @@
 const context: ReportContext = {
   now: NOW,
   viaReport: true,
-  strangerOf: () => {
+  placeholderFor: () => {
     throw new Error("nobody's");
   },
   leaseMs: 18_000,
   coolMs: 2500,
 };
-const orders = { now: NOW, leaseMs: 18_000, clearable: () => false, max: 9 };
+const orders = { now: NOW, leaseMs: 18_000, clearable: () => false, refused: () => assert.fail("refused"), max: 9 };
 
 /** A task placed on one machine by a direct start to which no answer came. */
 function startedUnheard() {
--- a/test/returns.test.ts
+++ b/test/returns.test.ts
@@ -17,7 +17,7 @@
 import { spawnController } from "../src/rehearsal/spawn.js";
 import { runPass } from "../src/queue/pass.js";
 import type { Settings } from "../src/settings/derived.js";
-import { newFindings, takeReport } from "../src/workers/reports.js";
+import { newFindings, takeReport } from "../src/workers/report-intake.js";
 import { NOW, partOf, pass, queueUp, specOf } from "./world/parts.js";
 
 const base = await loadPlan("deploy/rehearsal.hcl");
@@ -126,7 +126,7 @@
           viaReport: true,
           leaseMs: 18_000,
           coolMs: 2500,
-          strangerOf: () => unit,
+          placeholderFor: () => unit,
         };
         assert.equal(takeReport(part, machine, seen, context, findings), newer);
         finished += findings.finished.size;
--- a/test/served.test.ts
+++ b/test/served.test.ts
@@ -6,7 +6,7 @@
 import { runPass } from "../src/queue/pass.js";
 import { choosePreemptions } from "../src/queue/preempt.js";
 import { markFinished, release, type Unit } from "../src/queue/unit.js";
-import { letGo } from "../src/workers/machine.js";
+import { removeAttempt } from "../src/workers/machine.js";
 import { behind, type Count } from "../src/served/shares.js";
 import { partOf, pass, queueUp, specOf } from "./world/parts.js";
 
@@ -32,7 +32,7 @@
 function turn(part: Part, nowS: number, mode: OrderMode, finished: Set<string>, change: Partial<OrderContext> = {}): void {
   for (const machine of part.machines.values()) {
     for (const [key, placement] of [...machine.placements]) {
-      letGo(machine, key);
+      removeAttempt(machine, key);
       markFinished(placement.unit, placement.task);
       release(placement.unit, placement);
     }
--- a/test/world/lease-model.ts
+++ b/test/world/lease-model.ts
@@ -2,8 +2,11 @@
 import { addMachine, addUnit, newPart } from "../../src/parts/part.js";
 import { Bits } from "../../src/platform/bits.js";
 import { newUnit } from "../../src/queue/unit.js";
+import { fence } from "../../src/workers/fence.js";
 import { newMachine, type Machine } from "../../src/workers/machine.js";
-import { dropAll, leaseOver, newFindings, noteAnswer, ordersFor, takeReport } from "../../src/workers/reports.js";
+import { dropAll, newFindings, takeReport } from "../../src/workers/report-intake.js";
+import { leaseOver, noteAnswer } from "../../src/workers/lease.js";
+import { ordersFor } from "../../src/workers/orders.js";
 import { specOf } from "./parts.js";
 
 /**
@@ -79,7 +82,7 @@
         viaReport,
         leaseMs: LEASE,
         coolMs: 1,
-        strangerOf: () => unit,
+        placeholderFor: () => unit,
       },
       newFindings(),
     );
@@ -138,7 +141,8 @@
       if (s.heard !== null && !s.heard.lost) {
         const { part, machine } = heirOf(s);
         if (leaseOver(machine, now, LEASE)) {
-          machine.lost = machine.fenced = true;
+          machine.lost = true;
+          fence(part, machine, "lease", []);
           dropAll(part, machine, now, newFindings());
           s.heard = keep(machine);
         }
@@ -169,7 +173,7 @@
         if (wrong.answerCutsShort === true && before > now) machine.answeredAt = now;
         // The job is over by the records that the heir has read up to its claim.
         for (const placement of machine.placements.values()) placement.stop = { graceS: 0 };
-        const orders = ordersFor(machine, "report", { now, leaseMs: LEASE, clearable: () => false, max: 9 });
+        const orders = ordersFor(machine, "report", { now, leaseMs: LEASE, clearable: () => false, refused: () => undefined, max: 9 });
         const stops = orders.some(({ verb }) => verb === "stop") && (machine.fenced || wrong.answerStopsNothing !== true);
         const there = answer === "arrives" ? { token: NEW, leaseFrom: now, task: s.task && !stops } : {};
         for (const copy of copies)
--- a/test/world/takeover-model.ts
+++ b/test/world/takeover-model.ts
@@ -8,6 +8,7 @@
 import type { CommandReply, Report, ReportAnswer, WorkerApi } from "@thorntrail/protocol/worker";
 import type { Mirror } from "../../src/ledger/mirror.js";
 import type { Rentals } from "../../src/ledger/rentals.js";
+import { Audit } from "../../src/parts/audit.js";
 import type { CameUp } from "../../src/parts/came-up.js";
 import { Consequences } from "../../src/parts/consequences.js";
 import type { Leader } from "../../src/parts/leader.js";
@@ -16,6 +17,7 @@
 import type { Progress } from "../../src/parts/progress.js";
 import type { Recovery } from "../../src/parts/recovery.js";
 import { ReportDesk } from "../../src/parts/report-desk.js";
+import { StartGuard } from "../../src/parts/start-guard.js";
 import { Watch } from "../../src/parts/watch.js";
 import { Scope } from "../../src/platform/scope.js";
 import { RunHistory } from "../../src/queue/history.js";
@@ -128,6 +130,8 @@
       typeOf: () => undefined,
       stats: { starts: 0, takeovers: 0, preemptions: 0, fencedMs: 0 },
       account: new Account(),
+      audit: new Audit(this.scope.log, () => 0),
+      startGuard: new StartGuard(this.scope),
       dispatch$: this.dispatch$,
       short$: new Subject(),
       began$: new Subject(),
