--- a/packages/emulator/src/commands.ts
+++ b/packages/emulator/src/commands.ts
@@ -12,6 +12,7 @@
 import { ask, objectOf } from "./real/http.js";
 import { playReal } from "./real/play.js";
 import { Rig } from "./real/rig.js";
+import { lineOf, soakSeed, soakShared, type SoakRun } from "./soak.js";
 import { table, type Report } from "./report.js";
 import { shrink } from "./shrink.js";
 import { playVirtual, type VirtualOptions } from "./virtual/play.js";
@@ -110,6 +111,64 @@
   finish(report, options.report);
 }
 
+export interface RehearseSoak {
+  plan: string;
+  program: string[];
+  /** How many seeds, and the first of them. */
+  seeds: number;
+  first: number | undefined;
+  report: string | undefined;
+  keep: string;
+  processes: number;
+  turn: string | undefined;
+  momentOf: MomentOf;
+}
+
+/** `thorntrail rehearse --soak N`: N seeds of faults at random moments on real processes. */
+export async function rehearseSoak(options: RehearseSoak): Promise<void> {
+  const { program, keep, momentOf } = options;
+  const plan = await loadPlan(options.plan);
+  const stop = interruptible();
+  const first = options.first ?? plan.seed;
+  const seeds = inTurn(
+    Array.from({ length: options.seeds }, (_, i) => first + i),
+    options.turn,
+  );
+  const say = (line: string): void => void process.stdout.write(`${line}\n`);
+  let runs: SoakRun[] = [];
+  if (options.processes > 1 && options.turn === undefined) {
+    const args = (turn: string, report: string): string[] => [
+      ...["rehearse", options.plan, "--soak", String(options.seeds), "--seed", String(first), "--keep", keep],
+      ...["--turn", turn, "--report", report],
+    ];
+    runs = await soakShared({ program, args, processes: Math.min(options.processes, seeds.length), say }, stop.signal);
+  } else {
+    for (const seed of seeds) {
+      if (stop.signal.aborted) break;
+      const run = await soakSeed({ program, plan, timing: USUAL, momentOf, keep, stop: stop.signal }, seed);
+      runs.push(run);
+      say(lineOf(run));
+      for (const line of [...run.broken, ...run.trouble]) say(`  ${line}`);
+    }
+  }
+  if (options.report !== undefined) writeFileSync(options.report, `${JSON.stringify(runs, null, 2)}\n`);
+  if (options.turn === undefined) tellSoak(runs, options.seeds);
+  if (runs.some(({ broken }) => broken.length > 0)) process.exitCode = 4;
+  if (stop.signal.aborted) process.exitCode = 130;
+}
+
+function tellSoak(runs: readonly SoakRun[], asked: number): void {
+  const whole = runs.filter(({ partial }) => !partial);
+  const sum = (read: (run: SoakRun) => number): number => runs.reduce((n, run) => n + read(run), 0);
+  const bad = runs.filter(({ broken }) => broken.length > 0).map(({ seed }) => seed);
+  process.stdout.write(
+    `soak: ${whole.length} of ${asked} seeds to their end, ${runs.length - whole.length} partial, ${asked - runs.length} not begun; ` +
+      `${sum(({ faults }) => faults.length)} faults met, ${sum(({ takeovers }) => takeovers)} takeovers, ` +
+      `${sum(({ started }) => started)} tasks started, ${sum(({ trouble }) => trouble.length)} errors, ` +
+      `rules broken in ${bad.length} seeds${bad.length === 0 ? "" : ` (${bad.join(", ")})`}\n`,
+  );
+}
+
 /** Looks for the shortest plan that still breaks a rule in virtual time, and says so in the report. */
 async function shortest(
   plan: RehearsalPlan,
--- a/packages/emulator/src/conductor.ts
+++ b/packages/emulator/src/conductor.ts
@@ -187,7 +187,7 @@
     this.stopped = true;
   }
 
-  report(rest: Pick<Report, "mode" | "broken" | "trouble" | "cost">): Report & { moments: MetMoment[] } {
+  report(rest: Pick<Report, "mode" | "broken" | "trouble" | "cost" | "reports">): Report & { moments: MetMoment[] } {
     const { plan, seed } = this.options;
     const states = [...this.told.values()];
     return {
--- a/packages/emulator/src/drawn.ts
+++ b/packages/emulator/src/drawn.ts
@@ -136,6 +136,24 @@
   return found.map(([after, raw]) => ({ at: at + after, fault: read(raw) }));
 }
 
+/** Further troubles that only a soak draws, so that what rehearsals draw by seed stays what it was; the commoner ones stand twice. */
+const SOAK_TROUBLES: readonly Draw[] = [
+  ...TROUBLES,
+  (luck) => ({ kind: "late-commands", share: luck.of([0.2, 0.5]), for: luck.between(5, 30) }),
+  (luck) => ({ kind: "late-commands", share: luck.of([0.2, 0.5]), for: luck.between(5, 30) }),
+  (luck) => ({ kind: "late-reports", share: luck.of([0.05, 0.2]), for_next: true, for: luck.between(10, 40) }),
+  (luck) => ({ kind: "late-reports", share: luck.of([0.2, 0.5]), ms: luck.whole(3000, 30_000), for: luck.between(10, 40) }),
+  (luck) => ({
+    kind: "lose-sent",
+    target: nodes(luck),
+    to: luck.of(["state", "workers", "controllers", "all"]),
+    for: luck.between(1, 20),
+  }),
+  (luck) => ({ kind: "restart", target: nodes(luck), for: luck.between(0.05, 0.3) }),
+  (luck) => ({ kind: "restart", target: nodes(luck), for: luck.between(2, 12) }),
+  (luck) => ({ kind: "freeze", target: nodes(luck), for: luck.between(1, 25) }),
+];
+
 /** Machines are up by then, and the first work runs. */
 const WARM_S = 12;
 
@@ -147,6 +165,20 @@
 
 const trouble = (luck: Luck): PlannedFault["fault"] => read(luck.of(TROUBLES)(luck));
 
+/** Seconds of a soak to a fault. */
+const SOAK_FAULT_S = 6;
+
+/** The plan with faults at random moments all the while instead of its own; the same seed draws the same. */
+export function soakPlan(base: RehearsalPlan, seed: number): RehearsalPlan {
+  const luck = new Luck(seeded(seed));
+  const count = Math.max(1, Math.round((base.seconds - WARM_S) / SOAK_FAULT_S));
+  const fault = Array.from({ length: count }, (): PlannedFault => {
+    const at = luck.between(Math.min(WARM_S, base.seconds / 2), base.seconds);
+    return { at, fault: read(luck.of(SOAK_TROUBLES)(luck)) };
+  });
+  return { ...base, name: `${base.name}, seed ${seed}`, fault: [...base.fault, ...fault] };
+}
+
 /** The plan with drawn troubles instead of its own; the same seed draws the same. */
 export function drawnPlan(base: RehearsalPlan, seed: number): RehearsalPlan {
   const luck = new Luck(seeded(seed));
--- a/packages/emulator/src/entry.ts
+++ b/packages/emulator/src/entry.ts
@@ -6,6 +6,7 @@
   faultCommand,
   finish,
   rehearseReal,
+  rehearseSoak,
   rehearseVirtual,
   type RehearseVirtual,
 } from "./commands.js";
@@ -16,4 +17,5 @@
 export { loadPlan, parsePlan, type Moment, type RehearsalPlan } from "./plan.js";
 export { Spread, type Report } from "./report.js";
 export { BRISK } from "./place.js";
+export { soakSeed, timeless, type SoakRun } from "./soak.js";
 export { playReal } from "./real/play.js";
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -96,6 +96,8 @@
     to: z.enum(["state", "cloud", "workers", "controllers", "all"]),
     ...lasting,
   }),
+  /** Against the rules, to see that it is noticed: a task that runs is started on a second machine by nobody's right. */
+  z.strictObject({ kind: z.literal("start-twice") }),
   /** Users call off so many jobs that run and have long to go, within a fifth of a second; up to eight of their machines hang so long. */
   z.strictObject({ kind: z.literal("cancel-now"), count: count.default(5), hang: seconds.default(0) }),
   /** That share of the jobs that end is called off at the moment of the end. */
@@ -163,6 +165,8 @@
   hang(machine: string, on: boolean): void;
   slow(machine: string, factor: number): void;
   sicken(machine: string): void;
+  /** Starts some running task on a second machine; its name, or null if there is none. */
+  startTwice(): string | null;
   /** Machines of a type (`*`: any) that there are from now on; undefined: as before. Zone `*`: all. */
   capacity(type: string, zone: string, ordinary: number | undefined, spot: number | undefined): CapacityChange;
   /** Spot prices, times the usual ones. */
@@ -273,6 +277,10 @@
       return each(machinesOf(stage, fault.target), (name) => stage.slow(name, fault.factor));
     case "sick":
       return each(machinesOf(stage, fault.target), (name) => stage.sicken(name));
+    case "start-twice": {
+      const piece = stage.startTwice();
+      return piece === null ? [] : [piece];
+    }
     case "capacity": {
       const { met, restore } = stage.capacity(fault.target, fault.zone, fault.count, fault.spot);
       if (fault.for !== undefined) until(fault.for, restore);
--- a/packages/emulator/src/real/play.ts
+++ b/packages/emulator/src/real/play.ts
@@ -1,4 +1,5 @@
 import { Conductor, type MetMoment, type MomentOf } from "../conductor.js";
+import type { Happening } from "../checker.js";
 import type { Timing } from "../place.js";
 import type { RehearsalPlan } from "../plan.js";
 import type { Report } from "../report.js";
@@ -15,6 +16,10 @@
   /** After all was submitted, how long to wait for the last. */
   patienceMs: number;
   stop?: AbortSignal;
+  /** Each line that a controller logs. */
+  onLine?: (node: string, entry: Record<string, unknown>) => void;
+  /** Told in the end what workers and users saw. */
+  onHistory?: (history: readonly Happening[]) => void;
 }
 
 /** Plays a plan on real processes. Whatever ends it, no process and no folder stays. */
@@ -24,6 +29,7 @@
   const rig: Rig = new Rig({
     ...options,
     onLog: (node, entry) => {
+      options.onLine?.(node, entry);
       conductor.hear({ at: rig.clock.now(), node, what: String(entry["msg"] ?? ""), detail: entry });
       if (entry["level"] === "error" || entry["level"] === 50) trouble.push(`${node}: ${JSON.stringify(entry).slice(0, 300)}`);
     },
@@ -57,7 +63,10 @@
       progress?.(`${seconds} s: ${over}, ${rig.cloud.rented} machines, ${conductor.takeovers} takeovers`);
     }
     conductor.stop();
+    options.onHistory?.(rig.history);
+    const { reports: sent, late } = rig.reports;
     return conductor.report({
+      reports: { sent, late },
       mode: "real",
       broken: rig.broken(),
       trouble: [...trouble, ...rig.ended.map((name) => `ended by itself: ${name}`)],
--- a/packages/emulator/src/real/rig.ts
+++ b/packages/emulator/src/real/rig.ts
@@ -14,6 +14,7 @@
 import { platformOf, type Timing } from "../place.js";
 import type { Planned, RehearsalPlan } from "../plan.js";
 import { isTakeover, tookOver } from "../recovery.js";
+import { startTwice } from "../worker-model.js";
 import { Balancer } from "./balancer.js";
 import { openGate } from "./gate.js";
 import { ask, objectOf } from "./http.js";
@@ -427,6 +428,10 @@
     this.sickHosts.add(machine);
   }
 
+  startTwice(): string | null {
+    return startTwice(this.hosts.workers.values());
+  }
+
   capacity(type: string, zone: string, ordinary: number | undefined, spot: number | undefined): CapacityChange {
     return this.cloud.limit(type, zone, ordinary, spot);
   }
--- a/packages/emulator/src/report.ts
+++ b/packages/emulator/src/report.ts
@@ -20,6 +20,8 @@
   /** Processes that ended though nobody asked for it, and errors logged. */
   trouble: string[];
   cost: number;
+  /** Of the emulated workers, on real processes: how many were sent, and how many of them later than they should. */
+  reports?: { sent: number; late: number };
 }
 
 export interface ClassFigures {
--- a/packages/emulator/src/virtual/play.ts
+++ b/packages/emulator/src/virtual/play.ts
@@ -5,6 +5,7 @@
 import { platformOf, USUAL } from "../place.js";
 import type { RehearsalPlan } from "../plan.js";
 import type { Report } from "../report.js";
+import { startTwice } from "../worker-model.js";
 import { World, type ControllerPort, type Spawned } from "./world.js";
 
 /** The world in virtual time as faults see it. */
@@ -41,6 +42,7 @@
     },
     slow: (host, factor) => world.slowDown(host, factor),
     sicken: (host) => void world.sickHosts.add(host),
+    startTwice: () => startTwice(world.workers.values()),
     capacity: (type, zone, ordinary, spot) => world.cloud.limit(type, zone, ordinary, spot),
     prices: (factor) => {
       world.cloud.spotFactor = factor;
--- a/packages/emulator/src/worker-model.ts
+++ b/packages/emulator/src/worker-model.ts
@@ -441,3 +441,19 @@
     if (clock.now() - first > gangPeerMs) this.exit(task, "mates_gone");
   }
 }
+
+/** Starts some running task on a second machine, as nobody has a right to: for tests of those who watch. Null: none can be. */
+export function startTwice(workers: Iterable<Worker>): string | null {
+  const up = [...workers].filter((worker) => !worker.dead && !worker.hanging);
+  for (const first of up) {
+    for (const { piece, state, attempt } of first.tasks.values()) {
+      if (state !== "running") continue;
+      for (const second of up) {
+        if (second === first) continue;
+        const { report } = second.command(second.token, second.session, [{ verb: "start", piece, attempt: attempt + 1 }]);
+        if (report.tasks.some((task) => task.piece === piece && task.state !== "exited")) return piece;
+      }
+    }
+  }
+  return null;
+}
