--- a/packages/emulator/src/commands.ts
+++ b/packages/emulator/src/commands.ts
@@ -37,13 +37,16 @@
   };
 }
 
-/** Aborted by Ctrl-C or a request to end; a second one ends at once. */
-function interruptible(): AbortController {
+/** A soak still writes down what it came to, and waits for the processes that share it. */
+const SOAK_GRACE_MS = 8000;
+
+/** Aborted by Ctrl-C or a request to end; whatever goes on after `graceMs` is cut off. */
+function interruptible(graceMs = 500): AbortController {
   const stop = new AbortController();
   for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"] as const) {
     process.once(signal, () => {
       stop.abort();
-      setTimeout(() => process.exit(130), 500).unref();
+      setTimeout(() => process.exit(130), graceMs).unref();
     });
   }
   return stop;
@@ -128,7 +131,7 @@
 export async function rehearseSoak(options: RehearseSoak): Promise<void> {
   const { program, keep, momentOf } = options;
   const plan = await loadPlan(options.plan);
-  const stop = interruptible();
+  const stop = interruptible(SOAK_GRACE_MS);
   const first = options.first ?? plan.seed;
   const seeds = inTurn(
     Array.from({ length: options.seeds }, (_, i) => first + i),
@@ -145,7 +148,12 @@
   } else {
     for (const seed of seeds) {
       if (stop.signal.aborted) break;
-      const run = await soakSeed({ program, plan, timing: USUAL, momentOf, keep, stop: stop.signal }, seed);
+      const run = await soakSeed({ program, plan, timing: USUAL, momentOf, keep, stop: stop.signal }, seed).catch((error: unknown) => {
+        // Interrupted before all of its processes were up.
+        if (stop.signal.aborted) return null;
+        throw error;
+      });
+      if (run === null) break;
       runs.push(run);
       say(lineOf(run));
       for (const line of [...run.broken, ...run.trouble]) say(`  ${line}`);
--- a/packages/emulator/src/real/rig.ts
+++ b/packages/emulator/src/real/rig.ts
@@ -205,6 +205,7 @@
     for (const name of names) await this.startController(name);
     const until = this.clock.now() + 30_000;
     while (this.balancer.healthy.length < names.length) {
+      if (this.closing) throw new Error("ended while its processes were starting");
       if (this.clock.now() > until)
         throw new Error(`only ${this.balancer.healthy.join(", ") || "none"} of the controllers became healthy in 30 s`);
       await new Promise((resolve) => setTimeout(resolve, 100));
