--- a/measure/scale.ts
+++ b/measure/scale.ts
@@ -1,7 +1,9 @@
 import { parseArgs } from "node:util";
 import { existsSync } from "node:fs";
 import { progress, report, Times } from "./harness.js";
+import { brokenRules } from "../packages/emulator/src/checker.js";
 import { Cell, type Role, type Snapshot } from "./scale/cell.js";
+import { drawFaults, type ScaleFault } from "./scale/faults.js";
 import { fleetOf, type Fleet } from "./scale/fleet.js";
 import { loadSlopes, loadsOf, slopeNamed, type Loads } from "./scale/model.js";
 import { playRole } from "./scale/roles.js";
@@ -10,7 +12,8 @@
 /**
  * The target's fleet on this machine: real controllers and a real store, everything else hollow. Fills the
  * fleet, lets it rest, has a burst of starts, and loses a controller with a zone's workers.
- * `--share 0.0625`: of the target's size. A run whose stand-ins were late is called invalid.
+ * `--share 0.0625`: of the target's size; `--machines 4000`: so many, whatever the share; `--faults 14 --seed 1`: controllers
+ * killed, paused and cut meanwhile, reports and commands late, judged by the checker of rehearsals. A run whose stand-ins were late is called invalid.
  */
 
 const TARGET_FILE = "docs/capacity/target.json";
@@ -21,6 +24,10 @@
 /** Of the state service, at full size; a cell takes them whatever its share. */
 const STATE = { rps: 3000, writeRps: 1000, valueKb: 32, txnOps: 64 };
 const BACK_AFTER_MS = 20_000;
+/** A controller that was started again is not touched for so long. */
+const START_MS = 3000;
+/** No fault begins so close before the end that nothing of what follows would be seen. */
+const QUIET_AT_THE_END_MS = 25_000;
 
 const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 const sum = (list: readonly number[]): number => list.reduce((a, b) => a + b, 0);
@@ -171,14 +178,67 @@
   return seen;
 }
 
+/** Faults that were carried out, as said in the end. */
+const carriedOut: string[] = [];
+
+function schedule(cell: Cell, faults: readonly ScaleFault[]): void {
+  /** Controllers that are ended or paused just now: nothing else is done to them. */
+  const away = new Set<string>();
+  for (const fault of faults) {
+    setTimeout(() => {
+      const { kind, forMs } = fault;
+      if (kind !== "rule") {
+        if (away.has(fault.controller)) return;
+        away.add(fault.controller);
+        setTimeout(() => away.delete(fault.controller), forMs + START_MS).unref();
+      }
+      const whom = kind === "rule" ? fault.what : `${kind} ${fault.controller}`;
+      carriedOut.push(`${whom} ${(forMs / 1000).toFixed(1)} s`);
+      progress(`fault: ${carriedOut.at(-1)}`);
+      if (kind === "rule") return cell.addRule(fault.rule, forMs);
+      if (kind === "restart") {
+        void cell.killController(fault.controller).then(() => setTimeout(() => void cell.startController(fault.controller), forMs).unref());
+        return;
+      }
+      cell.pauseController(fault.controller, true);
+      setTimeout(() => cell.pauseController(fault.controller, false), forMs).unref();
+    }, fault.atMs).unref();
+  }
+}
+
+/** What the checker and the controllers' own figures say of a run with faults. */
+async function faultFigures(cell: Cell): Promise<Figures> {
+  const history = [...cell.happenings].sort((a, b) => a.at - b.at);
+  const broken = brokenRules(history, { cancelMs: Infinity, teams: new Map() });
+  const fences = new Times();
+  for (const { ms } of cell.fences) fences.add(ms);
+  const figures: Figures = {
+    faults: carriedOut.join(", ") || "none",
+    rules_broken: broken.length,
+    first_broken: broken[0] ?? "none",
+    fences: fences.count,
+    fence_p50_ms: fences.at(50),
+    fence_worst_ms: fences.worst,
+    fence_most_machines: Math.max(0, ...cell.fences.map(({ machines: count }) => count)),
+    invariant_violations: await cell.controllerFigure("invariant_violations_total"),
+  };
+  for (const operation of ["worker.order", "worker.fence"])
+    for (const what of ["asked", "answered", "refused", "unanswered", "expired"])
+      figures[`${operation.replace(".", "_")}_${what}`] = await cell.controllerFigure(
+        `calls_total{operation="${operation}",what="${what}"}`,
+      );
+  return figures;
+}
+
 /** Plays all phases; everything it started is over when it returns. */
-async function play(fleet: Fleet): Promise<Figures> {
+async function play(fleet: Fleet, faults: readonly ScaleFault[]): Promise<Figures> {
   const cell = new Cell(fleet.plan);
   const { phases } = fleet;
   try {
     await cell.start();
     const began = await cell.snapshot();
     progress(`${fleet.plan.controllers} controllers healthy; ${fleet.plan.jobs.length} jobs, ${fleet.lasting} lasting tasks`);
+    schedule(cell, faults);
     const steadyFrom = await until(cell, began.at, phases.steadyMs);
     const burstFrom = await until(cell, began.at, phases.burstMs);
     const lossFrom = await until(cell, began.at, phases.lossMs);
@@ -216,6 +276,7 @@
       most_running_tasks: sum(end.workers.map((one) => one.mostRunning)),
       error_lines: cell.errors.length,
       first_error: cell.errors[0] ?? "none",
+      ...(await faultFigures(cell)),
       ended_by_itself: cell.ended.filter((what) => !what.startsWith("nest-0 (SIGKILL")).join(", ") || "none",
       worker_loop_worst_ms: Math.max(...end.workers.map((one) => one.loopWorstMs)),
       valid: why.length === 0 ? "yes" : `no: ${why.join("; ")}`,
@@ -226,9 +287,22 @@
   }
 }
 
+function wholeNumber(option: string, text: string): number {
+  if (/^\d{1,6}$/.test(text)) return Number(text);
+  process.stderr.write(`measure: --${option} ${text}: expected a whole number\n`);
+  process.exit(2);
+}
+
 async function measure(): Promise<void> {
   const { values } = parseArgs({
-    options: { share: { type: "string", default: "0.0625" }, workers: { type: "string" }, quick: { type: "boolean", default: false } },
+    options: {
+      share: { type: "string", default: "0.0625" },
+      workers: { type: "string" },
+      machines: { type: "string" },
+      faults: { type: "string" },
+      seed: { type: "string" },
+      quick: { type: "boolean", default: false },
+    },
   });
   const share = Number(values.share);
   if (!(share > 0 && share <= 1)) {
@@ -237,11 +311,17 @@
   }
   try {
     const target = loadTarget(TARGET_FILE);
+    if (values.machines !== undefined) target.workers = Math.round(wholeNumber("machines", values.machines) / share);
+    const seed = values.seed === undefined ? 1 : wholeNumber("seed", values.seed);
     const workerProcesses = values.workers === undefined ? Math.max(1, Math.round(6 * share)) : Number(values.workers);
-    const figures = await play(fleetOf(target, share, workerProcesses, STATE));
+    const fleet = fleetOf(target, share, workerProcesses, STATE);
+    const count = values.faults === undefined ? 0 : wholeNumber("faults", values.faults);
+    const { steadyMs, endMs } = fleet.phases;
+    const faults = drawFaults(seed, count, fleet.plan.controllers, steadyMs, endMs - QUIET_AT_THE_END_MS);
+    const figures = await play(fleet, faults);
     for (const [name, value] of Object.entries(figures))
       progress(`${name}: ${typeof value === "number" ? Number(value.toPrecision(4)) : value}`);
-    report("scale", { quick: share < 1, seed: 1, repeats: 1 }, { share, ...figures });
+    report("scale", { quick: share < 1, seed, repeats: 1 }, { share, ...figures });
   } catch (error) {
     if (!(error instanceof TargetFault)) throw error;
     process.stderr.write(`measure: ${error.message}\n`);
--- a/measure/scale/cell.ts
+++ b/measure/scale/cell.ts
@@ -5,7 +5,10 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { stringify } from "smol-toml";
+import type { Happening } from "../../packages/emulator/src/checker.js";
 import { CloudModel } from "../../packages/emulator/src/cloud-model.js";
+import type { RuleAsked } from "../../packages/emulator/src/links.js";
+import { isTakeover } from "../../packages/emulator/src/recovery.js";
 import { ask, objectOf, readBody, send } from "../../packages/emulator/src/real/http.js";
 import { Processes } from "../../packages/emulator/src/real/processes.js";
 import { CloudFace } from "../../packages/emulator/src/real/services.js";
@@ -18,6 +21,7 @@
   type FromClients,
   type FromWorkers,
   type PlannedJob,
+  type TaskEvent,
   type ToClients,
   type ToWorkers,
   type WorkersSeen,
@@ -98,6 +102,12 @@
   return found;
 }
 
+/** Offers do not matter to what is judged here: that no task is on two machines. */
+function happeningOf([at, piece, host, cause]: TaskEvent): Happening {
+  if (cause !== null) return { at, kind: "off", piece, host, cause };
+  return { at, kind: "on", piece, host, type: "", zone: "", spot: false };
+}
+
 /**
  * A whole cluster for measurements: store and controllers as the real processes, workers and clients
  * hollow in processes of their own, the cloud in this one. Everything it starts ends with it.
@@ -112,6 +122,10 @@
   readonly duties = new Map<string, Record<string, [turns: number, ms: number]>>();
   /** Log lines by their message. */
   readonly lines = new Map<string, number>();
+  /** What happened to tasks on the hollow workers' machines. */
+  readonly happenings: Happening[] = [];
+  /** From a claim until all machines of the partition were accounted for, in ms, and how many machines. */
+  readonly fences: { ms: number; machines: number }[] = [];
   private readonly dir = mkdtempSync(join(tmpdir(), "thorntrail-scale-"));
   private readonly processes: Processes;
   private readonly forks = new Map<string, ChildProcess>();
@@ -151,7 +165,7 @@
   }
 
   private hear(name: string, line: string): void {
-    let entry: { level?: unknown; msg?: unknown; spent?: Record<string, [number, number]> } = {};
+    let entry: { level?: unknown; msg?: unknown; ms?: unknown; machines?: unknown; spent?: Record<string, [number, number]> } = {};
     try {
       entry = JSON.parse(line) as typeof entry;
     } catch {
@@ -159,6 +173,8 @@
     }
     if (entry.spent !== undefined) this.duties.set(name, entry.spent);
     const text = String(entry.msg ?? "");
+    if (text === "all machines accounted for; placing") this.fences.push({ ms: Number(entry.ms), machines: Number(entry.machines) });
+    if (isTakeover(text)) for (const [role, child] of this.forks) if (role.startsWith("workers-")) child.send({ kind: "taken" });
     this.lines.set(text, (this.lines.get(text) ?? 0) + 1);
     if (entry.level === "error" || entry.level === 50) this.errors.push(`${name}: ${line.slice(0, 300)}`);
   }
@@ -243,6 +259,7 @@
     this.pids.set(name, child.pid!);
     child.on("message", (message: FromWorkers) => {
       if (message.kind === "booted") this.addresses.set(message.host, message.address);
+      if (message.kind === "tasks") for (const event of message.events) this.happenings.push(happeningOf(event));
     });
     return new Promise((resolve, reject) => {
       child.once("exit", (code, signal) => {
@@ -288,6 +305,15 @@
     await this.processes.kill(name);
   }
 
+  pauseController(name: string, on: boolean): void {
+    this.processes.freeze(name, on);
+  }
+
+  /** What goes wrong between all hollow workers and the controllers, for so long. */
+  addRule(rule: RuleAsked, forMs: number): void {
+    for (const [name, child] of this.forks) if (name.startsWith("workers-")) child.send({ kind: "rule", rule, forMs } satisfies ToWorkers);
+  }
+
   private async allHealthy(): Promise<void> {
     const until = steadyMs() + START_LIMIT_MS;
     for (;;) {
--- a/measure/scale/hollow-workers.ts
+++ b/measure/scale/hollow-workers.ts
@@ -4,7 +4,7 @@
 import { Links } from "../../packages/emulator/src/links.js";
 import { seeded } from "../../packages/emulator/src/luck.js";
 import { WorkerHost } from "../../packages/emulator/src/real/worker-host.js";
-import { steadyMs, type FromWorkers, type PlannedJob, type ToWorkers, type WorkersSeen } from "./messages.js";
+import { steadyMs, type FromWorkers, type PlannedJob, type TaskEvent, type ToWorkers, type WorkersSeen } from "./messages.js";
 
 /**
  * A process of hollow workers: each keeps the workers' protocol to the letter on sockets of its own, and its
@@ -12,6 +12,7 @@
  */
 
 const LOOP_RESOLUTION_MS = 10;
+const EVENTS_EVERY_MS = 500;
 
 const say = (message: FromWorkers): void => void process.send!(message);
 
@@ -20,12 +21,14 @@
   starts = 0;
   running = 0;
   mostRunning = 0;
+  private readonly events: TaskEvent[] = [];
   private readonly bySecond = new Map<number, number>();
   /** By job: tasks that have begun at least once, and when the last of them did. */
   private readonly jobs = new Map<string, { begun: Set<string>; lastAt: number }>();
 
-  on(piece: string): void {
+  on(piece: string, host: string): void {
     const now = steadyMs();
+    this.events.push([now, piece, host, null]);
     const second = Math.floor(now / 1000);
     this.starts++;
     this.running++;
@@ -39,10 +42,16 @@
     job.lastAt = now;
   }
 
-  off(): void {
+  off(piece: string, host: string, cause: string): void {
+    this.events.push([steadyMs(), piece, host, cause]);
     this.running--;
   }
 
+  /** What happened since this was last asked for. */
+  newEvents(): TaskEvent[] {
+    return this.events.splice(0);
+  }
+
   view(): Pick<WorkersSeen, "starts" | "running" | "mostRunning" | "startsBySecond" | "jobs"> {
     const { starts, running, mostRunning } = this;
     const jobs = [...this.jobs].map(([ref, { begun, lastAt }]): [string, number, number] => [ref, begun.size, lastAt]);
@@ -79,10 +88,10 @@
   }
 }
 
-function openHost({ fronts, jobs, timing, seed }: Extract<ToWorkers, { kind: "init" }>, tally: Tally): WorkerHost {
+function openHost({ fronts, jobs, timing, seed }: Extract<ToWorkers, { kind: "init" }>, tally: Tally, links: Links): WorkerHost {
   const began = steadyMs();
   const planned = new Map<string, PlannedJob>(jobs.map((job) => [job.spec.ref, job]));
-  return new WorkerHost(new Links(), new Map(fronts), {
+  return new WorkerHost(links, new Map(fronts), {
     clock: {
       now: () => steadyMs() - began,
       after: (ms, fn) => {
@@ -99,8 +108,8 @@
     slowness: () => 1,
     sick: () => false,
     saved: new Map(),
-    on: (_worker, piece) => tally.on(piece),
-    off: () => tally.off(),
+    on: ({ host }, piece) => tally.on(piece, host),
+    off: ({ host }, piece, cause) => tally.off(piece, host, cause),
   });
 }
 
@@ -110,7 +119,13 @@
   const bytes = new ConnectionBytes();
   const loop = monitorEventLoopDelay({ resolution: LOOP_RESOLUTION_MS });
   loop.enable();
+  const links = new Links();
   let host: WorkerHost | null = null;
+  const tell = (): void => {
+    const events = tally.newEvents();
+    if (events.length > 0) say({ kind: "tasks", events });
+  };
+  setInterval(tell, EVENTS_EVERY_MS);
   const ended = new Set<string>();
   const boot = async (asked: Extract<ToWorkers, { kind: "boot" }>): Promise<void> => {
     const { type, zone, spot, room } = asked;
@@ -121,13 +136,18 @@
   process.on("disconnect", () => process.exit(0));
   process.on("message", (message: ToWorkers) => {
     if (message.kind === "init") {
-      host = openHost(message, tally);
+      host = openHost(message, tally, links);
       say({ kind: "ready" });
     } else if (message.kind === "boot") void boot(message);
     else if (message.kind === "end") {
       ended.add(message.host);
       host!.end(message.host);
-    } else {
+    } else if (message.kind === "rule") {
+      const end = links.add(message.rule);
+      setTimeout(end, message.forMs);
+    } else if (message.kind === "taken") host?.deliverKept();
+    else {
+      tell();
       const { reports, late, unanswered } = host!.stats;
       const lateness = { loopP99Ms: loop.percentile(99) / 1e6 - LOOP_RESOLUTION_MS, loopWorstMs: loop.max / 1e6 - LOOP_RESOLUTION_MS };
       say({
--- a/measure/scale/messages.ts
+++ b/measure/scale/messages.ts
@@ -1,3 +1,4 @@
+import type { RuleAsked } from "../../packages/emulator/src/links.js";
 import type { JobSpec } from "../../packages/protocol/src/jobs.js";
 
 /**
@@ -25,8 +26,15 @@
   | { kind: "init"; fronts: [name: string, address: string][]; jobs: PlannedJob[]; timing: WorkerTiming; seed: number }
   | { kind: "boot"; host: string; type: string; zone: string; spot: boolean; room: { cpus: number; gpus: number; ram: number } }
   | { kind: "end"; host: string }
+  /** What goes wrong on the way between these workers and the controllers, for so long. */
+  | { kind: "rule"; rule: RuleAsked; forMs: number }
+  /** A controller has taken a partition: reports that were kept for it come now. */
+  | { kind: "taken" }
   | { kind: "look" };
 
+/** A task that came onto a machine, or went; `cause` of those that went. */
+export type TaskEvent = [at: number, piece: string, host: string, cause: string | null];
+
 /** What a process of hollow workers has seen so far; counters grow. */
 export interface WorkersSeen {
   workers: number;
@@ -48,7 +56,11 @@
   loopWorstMs: number;
 }
 
-export type FromWorkers = { kind: "ready" } | { kind: "booted"; host: string; address: string } | { kind: "seen"; seen: WorkersSeen };
+export type FromWorkers =
+  | { kind: "tasks"; events: TaskEvent[] }
+  | { kind: "ready" }
+  | { kind: "booted"; host: string; address: string }
+  | { kind: "seen"; seen: WorkersSeen };
 
 /** `followed`: each job is polled until it is done. */
 export type ToClients =
--- a/packages/emulator/src/commands.ts
+++ b/packages/emulator/src/commands.ts
@@ -122,6 +122,7 @@
   first: number | undefined;
   report: string | undefined;
   keep: string;
+  keepAll: boolean;
   processes: number;
   turn: string | undefined;
   momentOf: MomentOf;
@@ -129,7 +130,7 @@
 
 /** `thorntrail rehearse --soak N`: N seeds of faults at random moments on real processes. */
 export async function rehearseSoak(options: RehearseSoak): Promise<void> {
-  const { program, keep, momentOf } = options;
+  const { program, keep, keepAll, momentOf } = options;
   const plan = await loadPlan(options.plan);
   const stop = interruptible(SOAK_GRACE_MS);
   const first = options.first ?? plan.seed;
@@ -142,17 +143,19 @@
   if (options.processes > 1 && options.turn === undefined) {
     const args = (turn: string, report: string): string[] => [
       ...["rehearse", options.plan, "--soak", String(options.seeds), "--seed", String(first), "--keep", keep],
-      ...["--turn", turn, "--report", report],
+      ...["--turn", turn, "--report", report, ...(keepAll ? ["--keep-all"] : [])],
     ];
     runs = await soakShared({ program, args, processes: Math.min(options.processes, seeds.length), say }, stop.signal);
   } else {
     for (const seed of seeds) {
       if (stop.signal.aborted) break;
-      const run = await soakSeed({ program, plan, timing: USUAL, momentOf, keep, stop: stop.signal }, seed).catch((error: unknown) => {
-        // Interrupted before all of its processes were up.
-        if (stop.signal.aborted) return null;
-        throw error;
-      });
+      const run = await soakSeed({ program, plan, timing: USUAL, momentOf, keep, keepAll, stop: stop.signal }, seed).catch(
+        (error: unknown) => {
+          // Interrupted before all of its processes were up.
+          if (stop.signal.aborted) return null;
+          throw error;
+        },
+      );
       if (run === null) break;
       runs.push(run);
       say(lineOf(run));
--- a/packages/emulator/src/soak.ts
+++ b/packages/emulator/src/soak.ts
@@ -48,6 +48,8 @@
   momentOf: MomentOf;
   /** Where a seed that broke a rule leaves its logs and its history. */
   keep: string;
+  /** Every seed leaves them. */
+  keepAll?: boolean;
   stop?: AbortSignal;
 }
 
@@ -87,7 +89,7 @@
     reports: report.reports?.sent ?? 0,
     partial: stop?.aborted === true,
   };
-  if (run.broken.length > 0 || run.trouble.length > 0) keep(options.keep, run, plan, lines, history);
+  if (run.broken.length > 0 || run.trouble.length > 0 || options.keepAll === true) keep(options.keep, run, plan, lines, history);
   return run;
 }
 
--- a/packages/protocol/src/worker.ts
+++ b/packages/protocol/src/worker.ts
@@ -70,6 +70,7 @@
     if (task === null) return null;
     tasks.push(task);
   }
+  if (listsTwice(tasks)) return null;
   return {
     host,
     addr,
@@ -84,6 +85,12 @@
   };
 }
 
+/** Of an attempt that is listed in two states, neither can be believed. */
+function listsTwice(tasks: readonly ReportedTask[]): boolean {
+  if (tasks.length < 2) return false;
+  return new Set(tasks.map(({ piece, attempt }) => `${piece}#${attempt}`)).size < tasks.length;
+}
+
 export function encodeOrders(orders: Order[]): Record<string, unknown>[] {
   return orders.map((order) =>
     order.verb === "stop"
--- a/src/commands.ts
+++ b/src/commands.ts
@@ -154,6 +154,7 @@
     drawn?: number;
     soak?: number;
     keep: string;
+    keepAll?: boolean;
     processes: number;
     turn?: string;
     seed?: number;
@@ -173,12 +174,13 @@
     .option("--drawn <n>", "virtual: n rehearsals of two or three drawn faults each, the first by the seed", wholeNumber)
     .option("--soak <n>", "n seeds of faults at random moments on real processes, the first by the seed", wholeNumber)
     .option("--keep <folder>", "where a seed of a soak that goes wrong leaves its logs and history", "target/soak")
+    .option("--keep-all", "soak: every seed leaves them")
     .option("--processes <n>", "that share a campaign, what is drawn, or a soak", wholeNumber, 1)
     .addOption(new Option("--turn <i/n>").hideHelp())
     .option("--seed <n>", "instead of the plan's", wholeNumber)
     .option("--report <file>", "write the whole report as JSON")
     .action(async (plan: string, options: Rehearse) => {
-      const { seed, report, campaign, drawn, soak, keep, processes, turn } = options;
+      const { seed, report, campaign, drawn, soak, keep, keepAll = false, processes, turn } = options;
       if (options.virtual !== true && (campaign ?? drawn) !== undefined)
         throw new InvalidArgumentError("--campaign and --drawn need --virtual");
       if (options.virtual === true && soak !== undefined) throw new InvalidArgumentError("--soak plays real processes, not --virtual");
@@ -188,7 +190,7 @@
       if (options.virtual === true) return rehearseVirtual({ plan, seed, report, campaign, drawn, processes, turn, program });
       const { rehearseReal, rehearseSoak } = await import("@thorntrail/emulator/entry");
       if (soak !== undefined)
-        return rehearseSoak({ plan, program, seeds: soak, first: seed, report, keep, processes, turn, momentOf: await moments() });
+        return rehearseSoak({ plan, program, seeds: soak, first: seed, report, keep, keepAll, processes, turn, momentOf: await moments() });
       await rehearseReal({ plan, program, seed, report, momentOf: await moments(), virtually: playHere });
     });
 
--- a/src/parts/report-desk.ts
+++ b/src/parts/report-desk.ts
@@ -3,6 +3,7 @@
 import type { Mirror } from "../ledger/mirror.js";
 import { keys, type JobRecord, type OwnerRecord } from "../ledger/records.js";
 import type { Rentals } from "../ledger/rentals.js";
+import { BoundedLog } from "../platform/bounded-log.js";
 import { Bits } from "../platform/bits.js";
 import { newUnit, type Unit } from "../queue/unit.js";
 import type { Machine } from "../workers/machine.js";
@@ -20,6 +21,8 @@
 
 /** Takes in what workers report and says what to answer. */
 export class ReportDesk {
+  private readonly oddities: BoundedLog;
+
   constructor(
     private readonly led: Led,
     private readonly mirror: Mirror,
@@ -28,13 +31,19 @@
     private readonly cameUp: CameUp,
     private readonly consequences: Consequences,
     private readonly watch: Watch,
-  ) {}
+  ) {
+    const { clock, log } = led.scope;
+    this.oddities = new BoundedLog(clock, log, led.settings.timing.leaseMs);
+  }
 
   /** A worker's own report, and what to answer. */
   onReport(report: Report): ReportAnswer {
     if (!this.mirror.loaded || this.led.silent()) return { kind: "silent" };
     const record = this.rentals.get(report.host);
-    if (record === undefined) return { kind: "elsewhere", boss: null };
+    if (record === undefined) {
+      this.oddities.info({ host: report.host, addr: report.addr, tasks: report.tasks.length }, "report from a machine in no record");
+      return { kind: "elsewhere", boss: null };
+    }
     const part = this.led.parts.get(record.part);
     if (part === undefined) return { kind: "elsewhere", boss: this.mirror.get<OwnerRecord>(keys.owner(record.part))?.v.owner ?? null };
     if (report.token > part.term) {
--- a/test/attempts.test.ts
+++ b/test/attempts.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { Report, ReportedTask } from "@thorntrail/protocol/worker";
+import { decodeReport, type Report, type ReportedTask } from "@thorntrail/protocol/worker";
 import { nextAttempt, type Part } from "../src/parts/part.js";
 import { ready, runPass } from "../src/queue/pass.js";
 import { StartGuard } from "../src/parts/start-guard.js";
@@ -194,3 +194,19 @@
   owner.hear(other.host, []);
   assert.equal(ordersOn("direct", guard).length, 1, "the other is proven gone");
 });
+
+test("odd reports: what lists an attempt twice is none; a task number outside its job starts and drops nothing", () => {
+  const wire = { host: "i-0", addr: "x", build: "m", yard: "a", shift: 1, tick: 1, baton: 5 };
+  const piece = (status: string): Record<string, unknown> => ({ piece: "run-000001/0", try: 1, status });
+  assert.equal(decodeReport({ ...wire, pieces: [piece("running"), piece("exited")] }), null);
+  assert.notEqual(decodeReport({ ...wire, pieces: [piece("running")] }), null);
+  const owner = new NewOwner(2);
+  const unit = queueUp(owner.part, specOf({ cpus: 8 }));
+  const [host] = owner.startedOn(unit);
+  const ours = [...unit.placed.values()][0]!;
+  owner.hear(host!, [listed("run-000001/0", ours.attempt), listed("run-000001/7", 1)]);
+  assert.deepEqual([unit.placed.get(0), unit.waiting, ours.stop], [ours, [], null]);
+  const [, outside] = [...owner.machine(host!).placements.values()];
+  assert.notEqual(outside!.unit, unit);
+  assert.deepEqual(outside!.stop, { graceS: 0 }, "counted, and told to stop");
+});
