--- a/packages/emulator/src/commands.ts
+++ b/packages/emulator/src/commands.ts
@@ -2,6 +2,7 @@
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { CommandFailed, inTurn, interruptible, teller } from "./cli.js";
 import { BRISK, USUAL } from "./place.js";
 import type { MomentOf } from "./conductor.js";
 import { cases, coverageTable, planOf, type Case, type Covered } from "./campaign.js";
@@ -12,46 +13,11 @@
 import { ask, objectOf } from "./real/http.js";
 import { playReal } from "./real/play.js";
 import { Rig } from "./real/rig.js";
-import { lineOf, soakSeed, soakShared, type SoakRun } from "./soak.js";
 import { table, type Report } from "./report.js";
 import { shrink } from "./shrink.js";
 import { playVirtual, type VirtualOptions } from "./virtual/play.js";
 import type { ControllerPort } from "./virtual/world.js";
 
-/** A rehearsal that could not be carried out, or did not go well. */
-export class CommandFailed extends Error {}
-
-/** Lines on a terminal overwrite each other; elsewhere only what is worth keeping is said. */
-function teller(): { say: (text: string) => void; end: () => void } {
-  const live = process.stderr.isTTY === true;
-  let shown = false;
-  return {
-    say: (text) => {
-      if (live) process.stderr.write(`\r\x1b[K${text}`);
-      else process.stderr.write(`${text}\n`);
-      shown = live;
-    },
-    end: () => {
-      if (shown) process.stderr.write("\n");
-    },
-  };
-}
-
-/** A soak still writes down what it came to, and waits for the processes that share it. */
-const SOAK_GRACE_MS = 8000;
-
-/** Aborted by Ctrl-C or a request to end; whatever goes on after `graceMs` is cut off. */
-function interruptible(graceMs = 500): AbortController {
-  const stop = new AbortController();
-  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"] as const) {
-    process.once(signal, () => {
-      stop.abort();
-      setTimeout(() => process.exit(130), graceMs).unref();
-    });
-  }
-  return stop;
-}
-
 const good = (report: Report): boolean => report.broken.length === 0 && report.jobs.unfinished.length === 0;
 
 /** `npm run demo`: everything on this machine, from nothing, within a minute. */
@@ -114,72 +80,6 @@
   finish(report, options.report);
 }
 
-export interface RehearseSoak {
-  plan: string;
-  program: string[];
-  /** How many seeds, and the first of them. */
-  seeds: number;
-  first: number | undefined;
-  report: string | undefined;
-  keep: string;
-  keepAll: boolean;
-  processes: number;
-  turn: string | undefined;
-  momentOf: MomentOf;
-}
-
-/** `thorntrail rehearse --soak N`: N seeds of faults at random moments on real processes. */
-export async function rehearseSoak(options: RehearseSoak): Promise<void> {
-  const { program, keep, keepAll, momentOf } = options;
-  const plan = await loadPlan(options.plan);
-  const stop = interruptible(SOAK_GRACE_MS);
-  const first = options.first ?? plan.seed;
-  const seeds = inTurn(
-    Array.from({ length: options.seeds }, (_, i) => first + i),
-    options.turn,
-  );
-  const say = (line: string): void => void process.stdout.write(`${line}\n`);
-  let runs: SoakRun[] = [];
-  if (options.processes > 1 && options.turn === undefined) {
-    const args = (turn: string, report: string): string[] => [
-      ...["rehearse", options.plan, "--soak", String(options.seeds), "--seed", String(first), "--keep", keep],
-      ...["--turn", turn, "--report", report, ...(keepAll ? ["--keep-all"] : [])],
-    ];
-    runs = await soakShared({ program, args, processes: Math.min(options.processes, seeds.length), say }, stop.signal);
-  } else {
-    for (const seed of seeds) {
-      if (stop.signal.aborted) break;
-      const run = await soakSeed({ program, plan, timing: USUAL, momentOf, keep, keepAll, stop: stop.signal }, seed).catch(
-        (error: unknown) => {
-          // Interrupted before all of its processes were up.
-          if (stop.signal.aborted) return null;
-          throw error;
-        },
-      );
-      if (run === null) break;
-      runs.push(run);
-      say(lineOf(run));
-      for (const line of [...run.broken, ...run.trouble]) say(`  ${line}`);
-    }
-  }
-  if (options.report !== undefined) writeFileSync(options.report, `${JSON.stringify(runs, null, 2)}\n`);
-  if (options.turn === undefined) tellSoak(runs, options.seeds);
-  if (runs.some(({ broken }) => broken.length > 0)) process.exitCode = 4;
-  if (stop.signal.aborted) process.exitCode = 130;
-}
-
-function tellSoak(runs: readonly SoakRun[], asked: number): void {
-  const whole = runs.filter(({ partial }) => !partial);
-  const sum = (read: (run: SoakRun) => number): number => runs.reduce((n, run) => n + read(run), 0);
-  const bad = runs.filter(({ broken }) => broken.length > 0).map(({ seed }) => seed);
-  process.stdout.write(
-    `soak: ${whole.length} of ${asked} seeds to their end, ${runs.length - whole.length} partial, ${asked - runs.length} not begun; ` +
-      `${sum(({ faults }) => faults.length)} faults met, ${sum(({ takeovers }) => takeovers)} takeovers, ` +
-      `${sum(({ started }) => started)} tasks started, ${sum(({ trouble }) => trouble.length)} errors, ` +
-      `rules broken in ${bad.length} seeds${bad.length === 0 ? "" : ` (${bad.join(", ")})`}\n`,
-  );
-}
-
 /** Looks for the shortest plan that still breaks a rule in virtual time, and says so in the report. */
 async function shortest(
   plan: RehearsalPlan,
@@ -275,15 +175,6 @@
   tellCampaign(plan, seed, played, options.report);
 }
 
-/** The cases of one turn of several: `0/4` has the first, fifth and so on. */
-function inTurn<T>(all: T[], turn: string | undefined): T[] {
-  if (turn === undefined) return all;
-  const found = /^(\d{1,3})\/(\d{1,3})$/.exec(turn);
-  const [which, of] = [Number(found?.[1]), Number(found?.[2])];
-  if (found === null || of < 1 || which >= of) throw new CommandFailed(`--turn ${turn}: expected a turn such as 0/4`);
-  return all.filter((_, i) => i % of === which);
-}
-
 interface Campaign {
   covered: Covered[];
   bad: { name: string; broken: string[]; unfinished: string[]; trouble: string[] }[];
--- a/packages/emulator/src/entry.ts
+++ b/packages/emulator/src/entry.ts
@@ -1,15 +1,7 @@
 export { World, plainPlan, type ControllerPort, type Plan, type Spawned } from "./virtual/world.js";
-export {
-  CommandFailed,
-  demo,
-  emulatorServe,
-  faultCommand,
-  finish,
-  rehearseReal,
-  rehearseSoak,
-  rehearseVirtual,
-  type RehearseVirtual,
-} from "./commands.js";
+export { demo, emulatorServe, faultCommand, finish, rehearseReal, rehearseVirtual, type RehearseVirtual } from "./commands.js";
+export { CommandFailed } from "./cli.js";
+export { rehearseSoak } from "./soak-command.js";
 export { type MetMoment, type MomentOf } from "./conductor.js";
 export { playVirtual, type VirtualOptions } from "./virtual/play.js";
 export { cases, coverageTable, planOf, type Covered } from "./campaign.js";
