--- a/test/growth.test.ts
+++ b/test/growth.test.ts
@@ -4,6 +4,7 @@
 import { planHires } from "../src/fleet/plan.js";
 import type { MachineType } from "@thorntrail/protocol/cloud";
 import { nextAttempt, usageByTeam, type Part } from "../src/parts/part.js";
+import { AttemptRegistry, type Attempt } from "../src/queue/attempts.js";
 import { estimateWaits, type EstimateContext } from "../src/queue/estimate.js";
 import { Hopeless } from "../src/queue/hopeless.js";
 import { RunHistory } from "../src/queue/history.js";
@@ -67,6 +68,30 @@
   assert.equal(machines.walks, 0);
 });
 
+test("an attempt is counted, asked about and taken off without a look at any other of its job", () => {
+  const registry = new AttemptRegistry<Attempt>();
+  const unit = { spec: { ref: "run-000001" }, lo: 0 };
+  let looks = 0;
+  const attemptOf = (task: number): Attempt => ({
+    get unit() {
+      looks++;
+      return unit;
+    },
+    task,
+  });
+  for (let task = 0; task < 4000; task++) registry.add(attemptOf(task));
+  looks = 0;
+  const [one, other] = [attemptOf(4000), attemptOf(4000)];
+  registry.add(one);
+  registry.add(other);
+  assert.deepEqual([registry.others(one), registry.hasJob("run-000001")], [[other], true]);
+  registry.remove(one);
+  assert.deepEqual([registry.others(other), registry.hasTask("run-000001", 4000)], [[], true]);
+  registry.remove(other);
+  assert.equal(registry.hasTask("run-000001", 4000), false);
+  assert.ok(looks <= 30, `${looks} looks`);
+});
+
 test("waits of gangs and arrays on a full part follow from when its tasks end", () => {
   const { part } = partOf(10, { cpus: 16, gpus: 0, ram: 64 });
   queueUp(part, specOf({ tasks: 10, cpus: 15 }));
