--- a/packages/emulator/src/real/processes.ts
+++ b/packages/emulator/src/real/processes.ts
@@ -18,6 +18,8 @@
 
   /** Resolves with the first line on standard output if `answers`, else once started. */
   start(name: string, args: readonly string[], env: Record<string, string>, answers: boolean): Promise<string> {
+    // The first would be forgotten, and left behind.
+    if (this.running.has(name)) return Promise.reject(new Error(`${name} runs already`));
     const [file, ...first] = this.program as [string, ...string[]];
     const child = spawn(file, [...first, ...args], { stdio: ["ignore", "pipe", "pipe"], env: { ...process.env, ...env } });
     this.running.set(name, child);
--- a/packages/emulator/src/real/rig.ts
+++ b/packages/emulator/src/real/rig.ts
@@ -382,7 +382,7 @@
     this.away.add(controller);
     const back = (): void => {
       this.away.delete(controller);
-      void this.startController(controller);
+      void this.startController(controller).catch((error: Error) => this.ended.push(`${controller}: ${error.message}`));
     };
     void this.processes.kill(controller).then(() => this.after(awayMs, back));
   }
