--- a/measure/scale.ts
+++ b/measure/scale.ts
@@ -1,8 +1,8 @@
 import { parseArgs } from "node:util";
 import { existsSync } from "node:fs";
 import { progress, report, Times } from "./harness.js";
-import { brokenRules } from "../packages/emulator/src/checker.js";
 import { Cell, type Role, type Snapshot } from "./scale/cell.js";
+import { faultFigures, schedule } from "./scale/fault-run.js";
 import { drawFaults, type ScaleFault } from "./scale/faults.js";
 import { fleetOf, type Fleet } from "./scale/fleet.js";
 import { loadSlopes, loadsOf, slopeNamed, type Loads } from "./scale/model.js";
@@ -24,8 +24,6 @@
 /** Of the state service, at full size; a cell takes them whatever its share. */
 const STATE = { rps: 3000, writeRps: 1000, valueKb: 32, txnOps: 64 };
 const BACK_AFTER_MS = 20_000;
-/** A controller that was started again is not touched for so long. */
-const START_MS = 3000;
 /** No fault begins so close before the end that nothing of what follows would be seen. */
 const QUIET_AT_THE_END_MS = 25_000;
 
@@ -178,58 +176,6 @@
   return seen;
 }
 
-/** Faults that were carried out, as said in the end. */
-const carriedOut: string[] = [];
-
-function schedule(cell: Cell, faults: readonly ScaleFault[]): void {
-  /** Controllers that are ended or paused just now: nothing else is done to them. */
-  const away = new Set<string>();
-  for (const fault of faults) {
-    setTimeout(() => {
-      const { kind, forMs } = fault;
-      if (kind !== "rule") {
-        if (away.has(fault.controller)) return;
-        away.add(fault.controller);
-        setTimeout(() => away.delete(fault.controller), forMs + START_MS).unref();
-      }
-      const whom = kind === "rule" ? fault.what : `${kind} ${fault.controller}`;
-      carriedOut.push(`${whom} ${(forMs / 1000).toFixed(1)} s`);
-      progress(`fault: ${carriedOut.at(-1)}`);
-      if (kind === "rule") return cell.addRule(fault.rule, forMs);
-      if (kind === "restart") {
-        void cell.killController(fault.controller).then(() => setTimeout(() => void cell.startController(fault.controller), forMs).unref());
-        return;
-      }
-      cell.pauseController(fault.controller, true);
-      setTimeout(() => cell.pauseController(fault.controller, false), forMs).unref();
-    }, fault.atMs).unref();
-  }
-}
-
-/** What the checker and the controllers' own figures say of a run with faults. */
-async function faultFigures(cell: Cell): Promise<Figures> {
-  const history = [...cell.happenings].sort((a, b) => a.at - b.at);
-  const broken = brokenRules(history, { cancelMs: Infinity, teams: new Map() });
-  const fences = new Times();
-  for (const { ms } of cell.fences) fences.add(ms);
-  const figures: Figures = {
-    faults: carriedOut.join(", ") || "none",
-    rules_broken: broken.length,
-    first_broken: broken[0] ?? "none",
-    fences: fences.count,
-    fence_p50_ms: fences.at(50),
-    fence_worst_ms: fences.worst,
-    fence_most_machines: Math.max(0, ...cell.fences.map(({ machines: count }) => count)),
-    invariant_violations: await cell.controllerFigure("invariant_violations_total"),
-  };
-  for (const operation of ["worker.order", "worker.fence"])
-    for (const what of ["asked", "answered", "refused", "unanswered", "expired"])
-      figures[`${operation.replace(".", "_")}_${what}`] = await cell.controllerFigure(
-        `calls_total{operation="${operation}",what="${what}"}`,
-      );
-  return figures;
-}
-
 /** Plays all phases; everything it started is over when it returns. */
 async function play(fleet: Fleet, faults: readonly ScaleFault[]): Promise<Figures> {
   const cell = new Cell(fleet.plan);
