A task's name in the audit log and in the start guard by pieceName, which they wrote again

Found reading the change once more; the case for placeholders said the same as the other. Behaviour unchanged. Not mended: leaving and leavingFrom say one thing in two fields; soakShared and shareOut start and gather processes alike, but end them differently; a report's attempts are keyed once to see whether one is listed twice and again to take it in.

--- a/src/parts/audit.ts
+++ b/src/parts/audit.ts
@@ -4,16 +4,10 @@
  */
 import type { Log } from "../platform/log.js";
 import { pieceName, type Placement } from "../queue/unit.js";
-import { taskNumber } from "../queue/attempts.js";
 import type { Ended } from "../served/account.js";
 import type { FenceProof, Machine } from "../workers/machine.js";
 import type { Part } from "./part.js";
 
-/** Placeholders for unknown work begin their numbers at 0: theirs are the job's own. */
-function pieceOf(placement: Placement): string {
-  return placement.unit.lo === 0 ? pieceName(placement.unit, placement.task) : `${placement.unit.spec.ref}/${taskNumber(placement)}`;
-}
-
 export class Audit {
   constructor(
     private readonly log: Log,
@@ -26,7 +20,7 @@
     return {
       part: part.id,
       term: part.term,
-      piece: pieceOf(placement),
+      piece: pieceName(placement.unit, placement.task),
       attempt: placement.attempt,
       host: placement.host,
       session: part.machines.get(placement.host)?.session,
--- a/src/parts/start-guard.ts
+++ b/src/parts/start-guard.ts
@@ -1,5 +1,5 @@
 import type { Scope } from "../platform/scope.js";
-import type { Placement } from "../queue/unit.js";
+import { pieceName, type Placement } from "../queue/unit.js";
 import type { Part } from "./part.js";
 
 /**
@@ -23,7 +23,7 @@
     this.scope.invariants.violated("a task starts only if no other attempt of it may be on a machine", {
       part: part.id,
       term: part.term,
-      piece: `${placement.unit.spec.ref}/${placement.unit.lo + placement.task}`,
+      piece: pieceName(placement.unit, placement.task),
       refused: shown(placement),
       others: others.map(shown),
     });
