--- a/review/lib/stand-ins.mjs
+++ b/review/lib/stand-ins.mjs
@@ -664,10 +664,14 @@
   const limit = setTimeout(() => end(2, "the case took longer than 118 s"), 118_000);
   const end = (code, text) => {
     clearTimeout(limit);
-    deployment.record.line(`result: ${text}`);
-    process.stdout.write(`${text}\n`);
-    deployment.close();
-    process.exit(code);
+    deployment.killAll();
+    try {
+      deployment.record.line(`result: ${text}`);
+      deployment.close();
+    } finally {
+      process.stdout.write(`${text}\n`);
+      process.exit(code);
+    }
   };
   for (const signal of ["SIGINT", "SIGTERM"]) process.on(signal, () => end(2, "interrupted"));
   for (const fault of ["uncaughtException", "unhandledRejection"]) process.on(fault, (error) => end(2, `could not run: ${error}`));
