--- a/review/lib/stand-ins.mjs
+++ b/review/lib/stand-ins.mjs
@@ -659,8 +659,12 @@
   quota: { core_share: 0.3, mem_mb: 178, sockets: 1500 },
 };
 
-/** Runs a case: `play` resolves with the broken rules, none if they held. Sets the exit code and ends all processes. */
-export async function runCase(deployment, play) {
+/**
+ * Runs a case: `steps` are an optional preparation before the deployment starts, and its play, which resolves with the broken rules,
+ * none if they held. Sets the exit code and ends all processes.
+ */
+export async function runCase(deployment, ...steps) {
+  const play = steps.at(-1);
   const limit = setTimeout(() => end(2, "the case took longer than 118 s"), 118_000);
   const end = (code, text) => {
     clearTimeout(limit);
@@ -676,6 +680,7 @@
   for (const signal of ["SIGINT", "SIGTERM"]) process.on(signal, () => end(2, "interrupted"));
   for (const fault of ["uncaughtException", "unhandledRejection"]) process.on(fault, (error) => end(2, `could not run: ${error}`));
   try {
+    if (steps.length > 1) await steps[0]();
     await deployment.start();
     const broken = await play();
     if (broken.length > 0) end(1, `rule broken: ${broken.join("; ")}`);
