--- a/review/lib/stand-ins.mjs
+++ b/review/lib/stand-ins.mjs
@@ -446,10 +446,12 @@
 
 /** A small deployment: the project's state service and controllers as processes, and the stand-ins around them. */
 export class Deployment {
-  constructor(caseDir, { builds, capacity, teams, bootS = 2, controllers = 3, site }) {
+  constructor(caseDir, { builds, capacity, teams, bootS = 2, controllers = 3, restartS = 0, site }) {
     this.record = new Record(join(caseDir, "record.txt"));
     this.site = site;
     this.teams = teams;
+    /** Seconds after which the platform starts a controller again that ended by itself; 0: never. */
+    this.restartS = restartS;
     this.world = new World(this.record, site.workers);
     this.cloud = new Cloud(this.world, builds, capacity, { bootS, listLagS: site.cloud.list_lag_s });
     this.names = Array.from({ length: controllers }, (_, i) => `nest-${i}`);
@@ -475,6 +477,7 @@
       if (this.closing || child.ended === true) return;
       this.exits.push({ name, code, signal });
       this.record.line(`process ${name} ended by itself (code ${code}, signal ${signal})`);
+      if (this.restartS > 0 && name !== "store") setTimeout(() => this.closing || this.startController(name), this.restartS * 1000);
     });
     return child;
   }
@@ -488,11 +491,13 @@
     );
     const storePort = await freePort();
     this.stateAddr = `${HOST}:${storePort}`;
+    this.storeAdmin = `${HOST}:${await freePort()}`;
     const main = join(ROOT, "target", "main.js");
     const store = this.spawn("store", [
       process.execPath,
       main,
       ...["store", "serve", "--listen", this.stateAddr, "--data", join(this.dir, "state"), "--config", storeConfig],
+      ...["--admin", this.storeAdmin],
     ]);
     await new Promise((resolve, reject) => {
       store.stdout.once("data", resolve);
@@ -549,6 +554,12 @@
     return text + table("deployment.quota", quota);
   }
 
+  /** Changes the limits of the state service by its admin address. */
+  async setStoreLimits(limits) {
+    const answer = await call(undefined, this.storeAdmin, "PUT", "/limits", limits, 2000);
+    if (answer?.status !== 200) throw new Error(`the limits of the state service were not changed: ${JSON.stringify(answer)}`);
+  }
+
   /** Waits until the condition holds; throws if it does not within `withinS`. */
   async until(what, withinS, holds) {
     const end = performance.now() + withinS * 1000;
