--- a/packages/emulator/src/campaign.ts
+++ b/packages/emulator/src/campaign.ts
@@ -40,6 +40,8 @@
   "machine slow": () => ({ kind: "slow", factor: 5 }),
   "machine cut": (s) => ({ kind: "cut-machine", for: s }),
   "machine deaf": (s) => ({ kind: "deaf", for: s }),
+  "copied commands": (s) => ({ kind: "copies", of: "commands", share: 0.5, ms: s * 1000, for: 30 }),
+  "copied transactions": (s) => ({ kind: "copies", of: "transactions", share: 0.5, ms: s * 1000, for: 30 }),
   "late reports": (s) => ({ kind: "late-reports", share: 0.5, ms: 25_000, for: s }),
 };
 
--- a/packages/emulator/src/commands.ts
+++ b/packages/emulator/src/commands.ts
@@ -14,7 +14,7 @@
 import { sendRequest, parseObject } from "./real/http.js";
 import { playReal } from "./real/play.js";
 import { TestEnvironment } from "./real/test-environment.js";
-import { hadSplitWhileRefused, formatTable, type Report } from "./report.js";
+import { hadSplitWhileRefused, formatCopies, formatTable, type Report } from "./report.js";
 import { minimisePlan } from "./minimise-plan.js";
 import { runVirtual, type VirtualRunOptions } from "./virtual/play.js";
 import type { ControllerPort } from "./virtual/world.js";
@@ -112,6 +112,7 @@
   if (file !== undefined) writeFileSync(file, `${JSON.stringify(report, null, 2)}\n`);
   process.stdout.write(`${formatTable(report)}\n`);
   for (const line of [...report.broken, ...report.trouble]) process.stdout.write(`${line}\n`);
+  if (Object.keys(report.copies).length > 0) process.stdout.write(`copies: ${formatCopies(report.copies)}\n`);
   const { done, withdrawn, unfinished } = report.jobs;
   process.stdout.write(
     `${report.plan}: ${done} jobs done, ${withdrawn} withdrawn, ${unfinished.length} unfinished, ${report.broken.length} rules broken, ${report.takeovers} takeovers\n`,
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -15,6 +15,16 @@
 const count = z.number().int().min(1).max(1000);
 const service = z.enum(["state", "cloud"]);
 const share = z.number().min(0).max(1);
+/** The messages that a fault can copy, and the network calls that they are. */
+const COPIED_CALLS = {
+  commands: { from: "controllers", to: "workers", what: "command" },
+  transactions: { from: "controllers", to: "state", what: "txn" },
+  rentals: { from: "controllers", to: "cloud", what: "hire" },
+  deletions: { from: "controllers", to: "cloud", what: "remove" },
+  "peer-messages": { from: "controllers", to: "controllers", what: "peer" },
+  requests: { from: "users", to: "controllers", what: "request" },
+} as const;
+type CopiedChannel = keyof typeof COPIED_CALLS;
 
 /** Schema of a fault as it is written in plans and commands. Durations (`for`, `notice`, `hang`) are in seconds, `ms` in milliseconds. */
 export const faultSchema = z.discriminatedUnion("kind", [
@@ -132,6 +142,22 @@
    * if the worker then still accepts the command's token and session.
    */
   z.strictObject({ kind: z.literal("late-commands"), share: share.default(0.2), ...withDuration }),
+  /**
+   * Messages that were carried out and answered arrive once more: a copy of this share of them, `least_ms` to `ms` later or,
+   * with `kept`, once their sender has ended or a controller takes over a partition. Peer messages are copied in virtual
+   * time only.
+   */
+  z
+    .strictObject({
+      kind: z.literal("copies"),
+      of: z.enum(Object.keys(COPIED_CALLS) as [CopiedChannel, ...CopiedChannel[]]),
+      share: share.default(0.3),
+      least_ms: z.number().min(0).max(120_000).default(300),
+      ms: z.number().min(1).max(120_000).default(17_000),
+      kept: z.boolean().default(false),
+      ...withDuration,
+    })
+    .refine(({ least_ms, ms }) => least_ms <= ms, { path: ["least_ms"], message: "expected at most ms" }),
   /** One-way loss: messages from the controller to the endpoints named in `to` are lost, those in the other direction arrive. */
   z.strictObject({
     kind: z.literal("lose-sent"),
@@ -175,6 +201,11 @@
 /** The names of all kinds of faults. */
 export const FAULT_KINDS = faultSchema.options.map((option) => option.shape.kind.value);
 
+/** Kind of network call (`NetworkCall.what`) that a fault of the kind `copies` copies. */
+export function copiedCall(of: CopiedChannel): string {
+  return COPIED_CALLS[of].what;
+}
+
 /** Validates a fault given by a plan or a command. Returns the fault, or a message that names what is wrong and what was expected. */
 export function decodeFault(raw: unknown): { fault: Fault } | { wrong: string } {
   const kind = (raw as { kind?: unknown } | null)?.kind;
@@ -406,6 +437,11 @@
       endAfter(fault.for, environment.rule({ from: "controllers", to: "workers", what: "command", effect, share: fault.share }));
       return environment.machines();
     }
+    case "copies": {
+      const effect = { kind: "copy", share: fault.share, leastMs: fault.least_ms, mostMs: fault.ms, kept: fault.kept } as const;
+      endAfter(fault.for, environment.rule({ ...COPIED_CALLS[fault.of], effect }));
+      return [fault.of];
+    }
     case "lose-sent":
       return each(resolveControllers(environment, fault.target), (from) =>
         endAfter(fault.for, environment.rule({ from, to: fault.to === "all" ? "*" : fault.to, effect: { kind: "lose" } })),
--- a/packages/emulator/src/network-rules.ts
+++ b/packages/emulator/src/network-rules.ts
@@ -41,19 +41,25 @@
   | { kind: "again"; share: number; mostMs: number }
   /** For this share of the messages, a copy is stored and delivered when a controller takes over a partition. */
   | { kind: "keep"; share: number }
+  /**
+   * For this share of the requests, a copy is carried out once more after the request was: `leastMs` to `mostMs` later or,
+   * if `kept`, once the sender has ended or a controller takes over a partition.
+   */
+  | { kind: "copy"; share: number; leastMs: number; mostMs: number; kept: boolean }
   /** The request is executed, but its response is wrong. */
   | { kind: "wrong"; form: WrongResponseForm };
 
 /** Effects that apply once a request has arrived at its receiver. */
-type ArrivalEffect = Exclude<RuleEffect, { kind: "cut" | "delay" | "lose" | "again" | "keep" }>;
+type ArrivalEffect = Exclude<RuleEffect, { kind: "cut" | "delay" | "lose" | "again" | "keep" | "copy" }>;
+type CopyEffect = Extract<RuleEffect, { kind: "copy" }>;
 
 /** Sender, receiver and kind of a message, by which network rules match it. */
 export interface NetworkCall {
   from: string;
   to: string;
   /**
-   * Kind of message: `txn`, `follow`, `range`, `lease`, `hire`, `remove`, `list`, `types`, `report`, `command`, `peer`, or
-   * `answer` for the response to a report or command.
+   * Kind of message: `txn`, `follow`, `range`, `lease`, `hire`, `remove`, `list`, `types`, `report`, `command`, `peer`,
+   * `request` for a user's request, or `answer` for the response to a report or command.
    */
   what: string;
 }
@@ -75,8 +81,8 @@
   held: (() => void)[];
 }
 
-/** Effects on a message in transit; all others apply when a request has arrived at its receiver. */
-const IN_TRANSIT_EFFECTS = new Set<RuleEffect["kind"]>(["cut", "delay", "lose", "again", "keep"]);
+/** Effects that do not change how an arriving request is carried out: those on messages in transit, and copies of requests carried out. */
+const NOT_ON_ARRIVAL = new Set<RuleEffect["kind"]>(["cut", "delay", "lose", "again", "keep", "copy"]);
 /** Minimum delay in ms after which the effect `again` delivers the copy of a message. */
 const MIN_COPY_DELAY_MS = 2000;
 
@@ -152,9 +158,15 @@
     return effect?.kind === "keep" && this.random() < effect.share;
   }
 
+  /** Returns when a copy of a call that was carried out is carried out again; null if it is not. */
+  copyEffect(call: NetworkCall): CopyEffect | null {
+    const effect = this.find(call, ({ kind }) => kind === "copy")?.effect;
+    return effect?.kind === "copy" && this.random() < effect.share ? effect : null;
+  }
+
   /** Returns the effect on a call that has arrived, and counts it against rules with a limited number of calls. */
   takeEffect(call: NetworkCall): ArrivalEffect | null {
-    const rule = this.find(call, ({ kind }) => !IN_TRANSIT_EFFECTS.has(kind));
+    const rule = this.find(call, ({ kind }) => !NOT_ON_ARRIVAL.has(kind));
     if (rule === undefined || (rule.share < 1 && this.random() >= rule.share)) return null;
     rule.count--;
     if (rule.count <= 0) this.rules = this.rules.filter((other) => other !== rule);
--- a/packages/emulator/src/real/fault-proxy.ts
+++ b/packages/emulator/src/real/fault-proxy.ts
@@ -1,6 +1,7 @@
 /** HTTP proxy between one controller and one service, which applies the network rules (injected network faults). */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import type { MessageCopies } from "../message-copies.js";
 import type { NetworkRules, WrongResponseForm } from "../network-rules.js";
 import { readBody, sendResponse, type RawResponse } from "./http.js";
 
@@ -17,6 +18,7 @@
  */
 export interface FaultProxyOptions {
   links: NetworkRules;
+  copies?: MessageCopies;
   from: string;
   to: "state" | "cloud";
   /** Returns the name of the operation, as used in network rules (`NetworkCall.what`). */
@@ -27,6 +29,8 @@
   wrongAnswer?: (passing: ProxiedRequest, form: WrongResponseForm) => RawResponse | undefined;
 }
 
+const OK = 200;
+
 const wait = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
 async function handle(options: FaultProxyOptions, req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -42,6 +46,7 @@
   if (effect?.kind === "refuse") return sendResponse(res, { status: 503, text: '{"error":"trouble"}', retryAfter: "1" });
   if (effect?.kind === "late") return void setTimeout(() => void options.forward(request), effect.ms);
   const answer = await options.forward(request);
+  if (answer !== null) options.copies?.carriedOut(call, async () => (await options.forward(request))?.status === OK);
   if (effect?.kind === "twice") await options.forward(request);
   if (effect?.kind === "drop" || links.isCut(call)) return;
   if (answer === null) return void req.destroy();
--- a/packages/emulator/src/real/play.ts
+++ b/packages/emulator/src/real/play.ts
@@ -73,6 +73,7 @@
     const { reports: sent, late } = environment.reports;
     return driver.report({
       reports: { sent, late },
+      copies: environment.copies.counts,
       mode: "real",
       broken: environment.broken(),
       trouble: [...errors, ...environment.unexpectedExits.map((name) => `ended by itself: ${name}`)],
--- a/packages/emulator/src/real/test-environment.ts
+++ b/packages/emulator/src/real/test-environment.ts
@@ -9,6 +9,7 @@
 import type { UserClient } from "../scenario-driver.js";
 import { SimulatedUsers } from "../simulated-users.js";
 import type { CapacityOverride, FaultEnvironment } from "../faults.js";
+import { MessageCopies } from "../message-copies.js";
 import { NetworkRules } from "../network-rules.js";
 import { seededRandom } from "../random.js";
 import { buildPlatform, type Timing } from "../environment.js";
@@ -48,6 +49,7 @@
 export class TestEnvironment implements FaultEnvironment {
   readonly history: HistoryEvent[] = [];
   readonly links = new NetworkRules(() => this.random());
+  readonly copies = new MessageCopies(this.links, { after: (ms, fn) => this.clock.after(ms, fn) }, () => this.random());
   readonly dir = mkdtempSync(join(tmpdir(), "thorntrail-"));
   readonly cloud: CloudModel;
   /** Processes that exited on their own or could not be restarted, with the reason. */
@@ -139,7 +141,10 @@
     }
     const what = String(entry["msg"]);
     if (isTakeoverAfterLoss(what, entry)) this.takeovers++;
-    if (isTakeover(what)) this.clock.after(MAX_KEPT_REPORT_DELAY_MS * this.random(), () => this.hosts.deliverKeptReports());
+    if (isTakeover(what)) {
+      this.clock.after(MAX_KEPT_REPORT_DELAY_MS * this.random(), () => this.hosts.deliverKeptReports());
+      this.copies.releaseAll();
+    }
     this.options.onLog?.(node, entry);
   }
 
@@ -162,25 +167,30 @@
     await this.startStore();
     this.cloudStub = new CloudStub(this.cloud, this.clock, timing.cloudRps);
     this.stateForwarder = new StateForwarder(() => this.storeAddr);
-    this.hosts = new WorkerHost(this.links, this.fronts, {
-      clock: this.clock,
-      reportMs: timing.reportMs,
-      leaseMs: timing.leaseMs,
-      gangPeerMs: timing.gangPeerMs,
-      gangWaitMs: timing.gangWaitMs,
-      random: this.random,
-      nodes: names,
-      spec: (ref) => this.specs.get(ref)?.spec,
-      runMs: (ref) => this.specs.get(ref)?.runMs ?? 10_000,
-      fetchMs: (ref) => (this.specs.get(ref)?.spec.imageGb ?? 1) * 1000,
-      slowdown: (host) => this.slowness.get(host) ?? 1,
-      failsTasks: (host) => this.failingHosts.has(host),
-      savedProgress: new Map(),
-      onTaskStarted: (worker, taskId) =>
-        this.recordEvent({ at: this.clock.now(), kind: "on", piece: taskId, host: worker.host, ...worker.offer }),
-      onTaskEnded: (worker, taskId, cause) =>
-        this.recordEvent({ at: this.clock.now(), kind: "off", piece: taskId, host: worker.host, cause }),
-    });
+    this.hosts = new WorkerHost(
+      this.links,
+      this.fronts,
+      {
+        clock: this.clock,
+        reportMs: timing.reportMs,
+        leaseMs: timing.leaseMs,
+        gangPeerMs: timing.gangPeerMs,
+        gangWaitMs: timing.gangWaitMs,
+        random: this.random,
+        nodes: names,
+        spec: (ref) => this.specs.get(ref)?.spec,
+        runMs: (ref) => this.specs.get(ref)?.runMs ?? 10_000,
+        fetchMs: (ref) => (this.specs.get(ref)?.spec.imageGb ?? 1) * 1000,
+        slowdown: (host) => this.slowness.get(host) ?? 1,
+        failsTasks: (host) => this.failingHosts.has(host),
+        savedProgress: new Map(),
+        onTaskStarted: (worker, taskId) =>
+          this.recordEvent({ at: this.clock.now(), kind: "on", piece: taskId, host: worker.host, ...worker.offer }),
+        onTaskEnded: (worker, taskId, cause) =>
+          this.recordEvent({ at: this.clock.now(), kind: "off", piece: taskId, host: worker.host, cause }),
+      },
+      this.copies,
+    );
     this.cloud.addrOf = (host) => this.addrs.get(host) ?? "127.0.0.1:1";
     this.cloud.onRemoved = (host) => this.hosts.removeMachine(host);
     this.cloud.onBoot = (host, offer) => {
@@ -200,6 +210,7 @@
       () => this.clock.now(),
       (event) => this.recordEvent(event),
       this.random,
+      this.copies,
     );
     this.closers.push(() => this.users.close());
     for (const name of names) await this.startController(name);
@@ -229,6 +240,7 @@
   private async startProxies(name: string, names: string[], ports: Map<string, { front: number; peer: number }>): Promise<void> {
     const state = await startFaultProxy({
       links: this.links,
+      copies: this.copies,
       from: name,
       to: "state",
       operationOf: (request) => this.stateForwarder.operationOf(request),
@@ -239,6 +251,7 @@
     });
     const cloud = await startFaultProxy({
       links: this.links,
+      copies: this.copies,
       from: name,
       to: "cloud",
       operationOf: (request) => this.cloudStub.operationOf(request),
@@ -393,7 +406,10 @@
       this.down.delete(controller);
       void this.startController(controller).catch((error: Error) => this.unexpectedExits.push(`${controller}: ${error.message}`));
     };
-    void this.processes.kill(controller).then(() => this.after(downMs, start));
+    void this.processes.kill(controller).then(() => {
+      this.copies.releaseFrom(controller);
+      this.after(downMs, start);
+    });
   }
 
   freeze(controller: string, ms: number): void {
--- a/packages/emulator/src/real/users.ts
+++ b/packages/emulator/src/real/users.ts
@@ -2,6 +2,7 @@
 import { encodeJob, type JobSpec } from "@thorntrail/protocol/jobs";
 import { statusFromResponse, type HistoryEvent } from "../checker.js";
 import type { PlannedSubmission } from "../plan.js";
+import type { MessageCopies } from "../message-copies.js";
 import { createAgent, sendRequest, parseObject, type RawResponse } from "./http.js";
 
 /** How long users wait for the answer to a request before they repeat it. */
@@ -9,6 +10,8 @@
 /** How long a submission or cancellation is repeated without an answer. */
 const RETRY_LIMIT_MS = 60_000;
 const POLL_MS = 2000;
+/** How network rules match a user's request; the load balancer chooses the controller. */
+const USER_REQUEST = { from: "users", to: "balancer", what: "request" } as const;
 
 /** A submitted job as its user sees it. */
 export interface TrackedJob {
@@ -28,6 +31,7 @@
     private readonly now: () => number,
     private readonly recordEvent: (event: HistoryEvent) => void,
     private readonly random: () => number,
+    private readonly copies: MessageCopies,
   ) {}
 
   private wait(ms: number): Promise<void> {
@@ -48,12 +52,22 @@
       const sentAt = this.now();
       const answer = await sendRequest(this.agent, addr, "POST", path, body, TIMEOUT_MS.submit);
       this.recordAnswer(ref, sentAt, answer);
-      if (answer !== null && answer.status < 429) return answer;
+      if (answer !== null && answer.status < 429) {
+        this.copies.carriedOut(USER_REQUEST, () => this.sendAgain(addr, path, body));
+        return answer;
+      }
       await this.wait(Math.max(1000, Number(answer?.retryAfter ?? 0) * 1000));
     }
     return null;
   }
 
+  /** Sends a copy of a request that was answered; returns whether the copy is answered without an error. */
+  private async sendAgain(addr: string, path: string, body: string | undefined): Promise<boolean> {
+    if (this.closed) return false;
+    const answer = await sendRequest(this.agent, addr, "POST", path, body, TIMEOUT_MS.submit);
+    return answer !== null && answer.status < 400;
+  }
+
   /** Submits one job; false if it was refused or never answered. */
   async submit(planned: PlannedSubmission): Promise<boolean> {
     const { spec } = planned;
--- a/packages/emulator/src/real/worker-host.ts
+++ b/packages/emulator/src/real/worker-host.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { decodeOrders, encodeReport, type Report, type ReportAnswer } from "@thorntrail/protocol/worker";
+import type { MessageCopies } from "../message-copies.js";
 import type { NetworkRules } from "../network-rules.js";
 import { Worker, type WorkerDependencies } from "../worker-model.js";
 import { createAgent, sendRequest, parseObject, readBody, sendResponse, type RawResponse } from "./http.js";
@@ -54,6 +55,7 @@
     private readonly links: NetworkRules,
     private readonly fronts: ReadonlyMap<string, string>,
     private readonly world: Omit<WorkerDependencies, "report" | "gangMembers">,
+    private readonly copies: MessageCopies | null = null,
   ) {}
 
   /** Starts a machine with its worker and its listener; resolves with the listening address. */
@@ -175,6 +177,7 @@
       const { executed, report } = worker.command(token, session, orders);
       return { status: executed ? 200 : 409, text: JSON.stringify(encodeReport(report)), retryAfter: undefined };
     };
+    const runCopy = (): boolean => !worker.removed && !worker.hanging && worker.command(token, session, orders).executed;
     if (this.links.holdIfCut(call, () => void (worker.removed || run())) || this.links.isLost(call)) return;
     const delayMs = this.links.delayMs(call);
     if (delayMs > 0) await new Promise<void>((resolve) => this.world.clock.after(delayMs, resolve));
@@ -183,6 +186,7 @@
     // The command is executed late and not answered.
     if (effect?.kind === "late") return void this.world.clock.after(effect.ms, () => void (worker.removed || worker.hanging || run()));
     const answer = run();
+    this.copies?.carriedOut(call, runCopy);
     // The command is executed, but its answer may be lost.
     const response = { from: host, to: call.from, what: "answer" };
     if (!this.links.isCut(response) && !this.links.isLost(response)) sendResponse(res, answer);
--- a/packages/emulator/src/report.ts
+++ b/packages/emulator/src/report.ts
@@ -2,6 +2,7 @@
 import { build } from "hdr-histogram-js";
 import type { HistoryEvent } from "./checker.js";
 import type { Fault } from "./faults.js";
+import type { CopyCounts } from "./message-copies.js";
 import type { PlannedSubmission } from "./plan.js";
 import type { Recovery } from "./recovery.js";
 
@@ -56,6 +57,8 @@
    */
   trouble: string[];
   cost: number;
+  /** Copies of messages that were carried out before (faults of the kind `copies`), by the kind of message. */
+  copies: Record<string, CopyCounts>;
   /** Reports of the emulated workers, on real processes: how many were sent, and how many of them late. */
   reports?: { sent: number; late: number };
 }
@@ -138,6 +141,13 @@
   }));
 }
 
+/** Formats the numbers of copies of messages, such as `command 12 (3 accepted)`; empty if there were none. */
+export function formatCopies(copies: Report["copies"]): string {
+  return Object.entries(copies)
+    .map(([what, { delivered, accepted }]) => `${what} ${delivered} (${accepted} accepted)`)
+    .join(", ");
+}
+
 const formatSeconds = (value: number | null): string => (value === null ? "-" : value.toFixed(1));
 
 /** Formats the statistics of all job classes as a table for a terminal. */
--- a/packages/emulator/src/scenario-driver.ts
+++ b/packages/emulator/src/scenario-driver.ts
@@ -1,6 +1,6 @@
 /** Runs a rehearsal plan (workload and faults) in an environment, which is virtual or made of real processes. */
 import { countStartsAfterWithdrawal, type HistoryEvent } from "./checker.js";
-import { injectFault, durationMs, type SimulatedUserControl, type Fault, type FaultEnvironment } from "./faults.js";
+import { copiedCall, injectFault, durationMs, type SimulatedUserControl, type Fault, type FaultEnvironment } from "./faults.js";
 import { seededRandom } from "./random.js";
 import { plannedSubmissions, type InjectionPoint, type PlannedSubmission, type TimedFault, type RehearsalPlan } from "./plan.js";
 import { RecoveryTracker, isTakeoverAfterLoss } from "./recovery.js";
@@ -190,7 +190,7 @@
     this.stopped = true;
   }
 
-  report(rest: Pick<Report, "mode" | "broken" | "trouble" | "cost" | "reports">): Report & { moments: InjectedAtPoint[] } {
+  report(rest: Pick<Report, "mode" | "broken" | "trouble" | "cost" | "reports" | "copies">): Report & { moments: InjectedAtPoint[] } {
     const { plan, seed } = this.options;
     const states = [...this.jobStatuses.values()];
     return {
@@ -204,7 +204,10 @@
         withdrawn: states.filter((state) => state === "withdrawn").length,
         unfinished: this.submissions.map(({ spec }) => spec.ref).filter((ref) => !this.isFinished(ref)),
       },
-      faults: this.faults,
+      // Whether a fault of the kind `copies` affected anything is known only at the end.
+      faults: this.faults.map((one) =>
+        one.fault.kind === "copies" && rest.copies[copiedCall(one.fault.of)] === undefined ? { ...one, met: [] } : one,
+      ),
       moments: this.faultsAtPoints,
       takeovers: this.takeovers,
       recoveries: this.recoveries.all,
--- a/packages/emulator/src/soak.ts
+++ b/packages/emulator/src/soak.ts
@@ -12,7 +12,7 @@
 import { soakPlan } from "./random-plans.js";
 import type { Timing } from "./environment.js";
 import type { RehearsalPlan } from "./plan.js";
-import { hadSplitWhileRefused } from "./report.js";
+import { formatCopies, hadSplitWhileRefused, type Report } from "./report.js";
 import { playReal } from "./real/play.js";
 
 /** The result of the run of one seed. */
@@ -32,6 +32,8 @@
   /** Reports that the emulated workers sent late; many of them mean that this machine is too slow for the run. */
   lateReports: number;
   reports: number;
+  /** Copies of messages that were carried out before, by the kind of message. */
+  copies: Report["copies"];
   /** Whether a signal ended the run early. */
   partial: boolean;
 }
@@ -94,6 +96,7 @@
     trouble: report.trouble,
     lateReports: report.reports?.late ?? 0,
     reports: report.reports?.sent ?? 0,
+    copies: report.copies,
     partial: stop?.aborted === true,
   };
   if (run.broken.length > 0 || run.trouble.length > 0 || options.keepAll === true)
@@ -128,6 +131,7 @@
   trouble: errors,
   lateReports,
   reports,
+  copies,
   partial,
 }: SoakRun): string {
   const latePercent = reports === 0 ? 0 : (100 * lateReports) / reports;
@@ -138,6 +142,7 @@
     `${started} tasks started`,
     `${jobs.over} of ${jobs.submitted} jobs over`,
     `${latePercent.toFixed(1)}% of reports late`,
+    `copies: ${formatCopies(copies) || "none"}`,
     `${errors.length} errors`,
     `${broken.length} rules broken`,
   ];
--- a/packages/emulator/src/virtual/play.ts
+++ b/packages/emulator/src/virtual/play.ts
@@ -121,5 +121,11 @@
   const broken = findViolations(world.history, { ...world.limits(), faultsEndAt: driver.faultsEndAt() });
   driver.stop();
   for (const name of world.nodes.keys()) world.killController(name);
-  return driver.report({ mode: "virtual", broken, trouble: [...world.errors, ...world.state.oversized], cost: world.cloud.cost });
+  return driver.report({
+    mode: "virtual",
+    copies: world.copies.counts,
+    broken,
+    trouble: [...world.errors, ...world.state.oversized],
+    cost: world.cloud.cost,
+  });
 }
--- a/packages/emulator/src/virtual/service-links.ts
+++ b/packages/emulator/src/virtual/service-links.ts
@@ -15,6 +15,7 @@
 import { Store, LimitExceededError, type StoreLimits } from "@thorntrail/store/store";
 import type { StoredEvent } from "@thorntrail/store/engine";
 import type { CloudModel, MonotonicClock } from "../cloud-model.js";
+import { MessageCopies } from "../message-copies.js";
 import { NetworkRules, type WrongResponseForm } from "../network-rules.js";
 
 /** Runs the function within a controller's process, unless the process has ended. */
@@ -29,6 +30,7 @@
   latencyMs: () => number;
   /** Whether the service as a whole is down. */
   isDown: () => boolean;
+  copies: MessageCopies;
   /** Called for each request that can mark an injection point. */
   onRequest?: (what: string, detail: unknown) => void;
 }
@@ -40,17 +42,26 @@
   run: () => T | Promise<T>;
   /** Returns a response that is wrong as `form` says; undefined if there is none, in which case no readable response arrives. */
   wrongResponse?: (answer: T, form: WrongResponseForm) => T | undefined;
+  /** Returns whether the service carried the request out; absent if it always does. */
+  accepted?: (answer: T) => boolean;
 }
 
 /** Makes one call, subject to the same network rules as calls over real sockets. */
 export function callService<T>(
-  { clock, links, node, runInProcess, latencyMs, isDown }: ServiceConnection,
+  { clock, links, node, runInProcess, latencyMs, isDown, copies }: ServiceConnection,
   request: ServiceCall<T>,
 ): Promise<T> {
   const call = { from: node, to: request.to, what: request.what };
   const execute = async (): Promise<T> => request.run();
   // Executes the request although nobody waits for it any more: its result and its errors are discarded.
   const executeAndDiscard = (): void => void execute().catch(() => undefined);
+  const executeCopy = (): Promise<boolean> =>
+    isDown()
+      ? Promise.resolve(false)
+      : execute().then(
+          (answer) => request.accepted?.(answer) ?? true,
+          () => false,
+        );
   return new Promise<T>((resolve, reject) => {
     const fail = (error: Error): void => runInProcess(() => reject(error));
     const failAfterTimeout = (why: string): void => void clock.after(request.timeoutMs, () => fail(new CallError("unanswered", why)));
@@ -65,6 +76,7 @@
       }
       void execute().then(
         async (answer) => {
+          copies.carriedOut(call, executeCopy);
           if (effect?.kind === "twice") await execute().catch(() => undefined);
           if (effect?.kind === "drop") return failAfterTimeout("the answer was lost");
           let response: T | undefined = answer;
@@ -110,10 +122,13 @@
   const call = <T>(what: string, run: () => T | Promise<T>, limitMs = timeoutMs, extraMs = 0): Promise<T> =>
     callService(connection, { to: "state", what, timeoutMs: limitMs + extraMs, run });
   return {
-    txn: (conditions, apply, limitMs) =>
-      call(
-        "txn",
-        async () => {
+    txn: (conditions, apply, limitMs = timeoutMs) =>
+      callService(connection, {
+        to: "state",
+        what: "txn",
+        timeoutMs: limitMs,
+        accepted: ({ ok }) => ok,
+        run: async () => {
           connection.onRequest?.("txn", apply);
           try {
             const answer = await store().txn(conditions, apply.map(toChange));
@@ -126,8 +141,7 @@
           }
           throw new LeaseLostError("no such lease");
         },
-        limitMs,
-      ),
+      }),
     follow: (prefix, from, blockMs, limitMs) =>
       call(
         "follow",
@@ -210,6 +224,7 @@
     private readonly latencyMs: () => number,
     private limits: StoreLimits,
     readonly links = new NetworkRules(),
+    private readonly copies = new MessageCopies(links, clock, Math.random),
   ) {
     this.store = Store.createEmpty(this.engine, clock, limits);
   }
@@ -255,6 +270,7 @@
       runInProcess,
       latencyMs: this.latencyMs,
       isDown: () => this.isDown,
+      copies: this.copies,
       onRequest: (what, detail) => this.onRequest(node, what, detail),
     };
     return connectState(
--- a/packages/emulator/src/virtual/world.ts
+++ b/packages/emulator/src/virtual/world.ts
@@ -11,6 +11,7 @@
 import { SimulatedUsers } from "../simulated-users.js";
 import { CloudModel, type CloudModelOptions } from "../cloud-model.js";
 import type { Observation } from "../scenario-driver.js";
+import { MessageCopies } from "../message-copies.js";
 import { NetworkRules } from "../network-rules.js";
 import { seededRandom } from "../random.js";
 import { isTakeover } from "../recovery.js";
@@ -116,6 +117,7 @@
   /** Called for each event of the history as it occurs, except unanswered polls and requests to cancel. */
   onEvent: (event: HistoryEvent) => void = () => undefined;
   readonly links = new NetworkRules(() => this.faultRandom());
+  readonly copies = new MessageCopies(this.links, this.clock, () => this.faultRandom());
   readonly state: VirtualState;
   readonly cloud: CloudModel;
   readonly nodes = new Map<string, ControllerNode<C>>();
@@ -156,7 +158,7 @@
   ) {
     this.random = seededRandom(options.seed);
     this.faultRandom = seededRandom(options.seed ^ FAULT_SEED);
-    this.state = new VirtualState(this.clock, () => 2 + this.random() * 6, options.state, this.links);
+    this.state = new VirtualState(this.clock, () => 2 + this.random() * 6, options.state, this.links, this.copies);
     this.state.onRequest = (node, what, detail) => this.observations$.next({ at: this.clock.now(), node, what, detail: { apply: detail } });
     const { types, capacity, boots } = options;
     this.cloud = new CloudModel(this.clock, {
@@ -184,7 +186,9 @@
       seededRandom(options.seed ^ SIMULATED_USERS_SEED),
     );
     this.observations$.subscribe(({ what }) => {
-      if (isTakeover(what)) this.clock.after(STORED_REPORT_DELAY_MS * this.faultRandom(), () => this.deliverStoredReports());
+      if (!isTakeover(what)) return;
+      this.clock.after(STORED_REPORT_DELAY_MS * this.faultRandom(), () => this.deliverStoredReports());
+      this.copies.releaseAll();
     });
     this.cloud.onBoot = (host, offer) => this.bootMachine(host, offer);
     this.cloud.onRemoved = (host) => {
@@ -248,8 +252,16 @@
       if (node.clock === clock) clock.deliver(() => (node.clock === clock ? fn() : undefined));
     };
     const send = (to: string, message: unknown): boolean => {
+      const receive = (): boolean => {
+        this.runnerFor(to)(() => this.nodes.get(to)?.incoming$.next({ from: name, message }));
+        return this.nodes.get(to)?.controller !== null;
+      };
+      const receiveAndCopy = (): void => {
+        receive();
+        this.copies.carriedOut({ from: name, to, what: "peer" }, receive);
+      };
       // During a cut, messages between controllers are dropped and not held, because controllers give up a stalled connection.
-      this.deliver(name, to, "peer", () => this.runnerFor(to)(() => this.nodes.get(to)?.incoming$.next({ from: name, message })), false);
+      this.deliver(name, to, "peer", receiveAndCopy, false);
       return true;
     };
     // A controller that has ended refuses connections; one that is stalled or cut off keeps them open.
@@ -276,6 +288,7 @@
           runInProcess,
           latencyMs: () => 50,
           isDown: () => this.cloudDown,
+          copies: this.copies,
           onRequest: (what, detail) => this.observations$.next({ at: this.clock.now(), node: name, what, detail: { hire: detail } }),
         },
         () => cloudRate.take(),
@@ -313,6 +326,7 @@
     node.controller = null;
     node.clock = null;
     node.incoming$ = new Subject();
+    this.copies.releaseFrom(name);
   }
 
   set cloudOutage(on: boolean) {
@@ -342,10 +356,12 @@
       const execute = (): void => {
         const worker = this.workers.get(host);
         if (worker === undefined || worker.hanging) return;
-        const effect = this.links.takeEffect({ from: node, to: host, what: "command" });
+        const call = { from: node, to: host, what: "command" };
+        const effect = this.links.takeEffect(call);
         if (effect?.kind === "refuse") return;
         if (effect?.kind === "late") return void this.clock.after(effect.ms, () => this.executeLate(host, act));
         const reply = act(worker);
+        this.copies.carriedOut(call, () => this.executeLate(host, act));
         if (effect?.kind === "twice") act(worker);
         if (effect?.kind === "drop") return;
         this.deliver(host, node, "answer", () =>
@@ -359,10 +375,13 @@
     });
   }
 
-  /** Executes a command that was delayed in transit; its caller no longer waits for the response. */
-  private executeLate(host: string, act: (worker: Worker) => CommandReply): void {
+  /**
+   * Executes a command that was delayed in transit, or a copy of one; nobody waits for the response. Returns whether the
+   * worker accepted it.
+   */
+  private executeLate(host: string, act: (worker: Worker) => CommandReply): boolean {
     const worker = this.workers.get(host);
-    if (worker !== undefined && !worker.hanging) act(worker);
+    return worker !== undefined && !worker.hanging && act(worker).executed;
   }
 
   /** Delivers the stored reports to all controllers after a takeover. */
@@ -380,7 +399,19 @@
     const node = name !== undefined ? this.nodes.get(name)! : up.length === 0 ? null : up[Math.floor(this.random() * up.length)]!;
     const controller = node?.controller;
     if (node === null || controller === null || controller === undefined) return null;
-    return (kind, body, then) => this.runnerFor(node.name)(() => void controller.answer(kind, body).then(then));
+    const sendAgain = (kind: RequestKind, body: unknown): boolean => {
+      const { controller: present } = node;
+      this.runnerFor(node.name)(() => void present?.answer(kind, body).catch(() => undefined));
+      return present !== null;
+    };
+    return (kind, body, then) =>
+      this.runnerFor(node.name)(
+        () =>
+          void controller.answer(kind, body).then((answer) => {
+            this.copies.carriedOut({ from: "users", to: node.name, what: "request" }, () => sendAgain(kind, body));
+            then(answer);
+          }),
+      );
   }
 
   private recordEvent(event: HistoryEvent): void {
--- a/packages/emulator/test/models.test.ts
+++ b/packages/emulator/test/models.test.ts
@@ -247,7 +247,7 @@
   assert.deepEqual(driver.faultsAtPoints, [{ moment: "submission", kind: "prices", met: ["cloud"] }]);
   assert.ok(asked.filter((one) => one.startsWith("poll run-9")).length >= 3);
   assert.equal(driver.allFinished, true);
-  const report = driver.report({ mode: "virtual", broken: [], trouble: [], cost: 0 });
+  const report = driver.report({ mode: "virtual", copies: {}, broken: [], trouble: [], cost: 0 });
   assert.deepEqual([report.jobs.done, report.takeovers, report.faults.length], [2, 1, 2]);
   driver.stop();
   const count = asked.length;
--- a/test/world/scenario.ts
+++ b/test/world/scenario.ts
@@ -4,7 +4,7 @@
  */
 import { encodeJob, type JobKind, type JobSpec, type Urgency } from "@thorntrail/protocol/jobs";
 import { keys, type SliceRecord, type SuspicionRecord } from "../../src/ledger/records.js";
-import { injectFault, decodeFault } from "@thorntrail/emulator/faults";
+import { copiedCall, decodeFault, injectFault, type Fault } from "@thorntrail/emulator/faults";
 import { virtualEnvironment } from "@thorntrail/emulator/virtual/play";
 import { defaultWorldOptions, VirtualWorld as AnyWorld, type WorldOptions, type ControllerDependencies } from "@thorntrail/emulator/entry";
 import { spawnController, type RehearsedController } from "../../src/rehearsal/spawn-controller.js";
@@ -135,11 +135,34 @@
     await performStep(world, step, failures);
   }
   await world.clock.run((steps.at(-1)?.at ?? 0) + 100);
+  failures.push(...copiesThatWereNone(world, steps));
   failures.push(...world.state.oversized.map((what) => `exceeds the limits of the state service: ${what}`));
   for (const name of world.nodes.keys()) world.killController(name);
   return { world, failures };
 }
 
+/** Lines that inject a fault of the kind `copies` by which no message was copied, and which therefore tested nothing. */
+function copiesThatWereNone(world: World, steps: readonly Step[]): string[] {
+  return steps
+    .filter(({ words }) => words[0] === "fault" && words[1] === "copies")
+    .flatMap(({ words, line }) => {
+      const fault = faultOf(words, line);
+      const copied = fault.kind !== "copies" || world.copies.counts[copiedCall(fault.of)] !== undefined;
+      return copied ? [] : [`${line}: copied nothing`];
+    });
+}
+
+/** Parses the fault of a step `fault KIND field=value ...`; kinds and fields are those of `fault` blocks in rehearsal plans. */
+function faultOf(words: readonly string[], line: string): Fault {
+  const fields = words.slice(2).map((word) => {
+    const [name, value] = word.split("=") as [string, string];
+    return [name, value === "true" || value === "false" ? value === "true" : Number.isNaN(Number(value)) ? value : Number(value)];
+  });
+  const decoded = decodeFault({ kind: words[1], ...Object.fromEntries(fields) });
+  if ("wrong" in decoded) throw new Error(`${line}: ${decoded.wrong}`);
+  return decoded.fault;
+}
+
 /** Returns the job name with its number raised by `i`. */
 function numbered(ref: string, i: number): string {
   const [name, digits] = ref.split("-") as [string, string];
@@ -220,14 +243,8 @@
         world.clock.after(Number(c) * 1000, world.links.add({ from, to: "*", what: "report", effect: { kind: "lose" } }));
       return;
     case "fault": {
-      // Syntax: fault KIND field=value ... Injects a fault; kinds and fields are those of `fault` blocks in rehearsal plans.
-      const fields = step.words.slice(2).map((word) => {
-        const [name, value] = word.split("=") as [string, string];
-        return [name, value === "true" || value === "false" ? value === "true" : Number.isNaN(Number(value)) ? value : Number(value)];
-      });
-      const decoded = decodeFault({ kind: a, ...Object.fromEntries(fields) });
-      if ("wrong" in decoded) throw new Error(`${step.line}: ${decoded.wrong}`);
-      if (injectFault(virtualEnvironment(world), decoded.fault, world.simulatedUsers).length === 0)
+      // Syntax: fault KIND field=value ... Injects a fault.
+      if (injectFault(virtualEnvironment(world), faultOf(step.words, step.line), world.simulatedUsers).length === 0)
         failures.push(`${step.line}: matched no target`);
       return;
     }
@@ -409,8 +426,13 @@
   }
   if (subject === "met") {
     // Syntax: expect met WHAT at-least N. At least N times, the simulated users' behaviour WHAT took effect or, if WHAT is
-    // `keptReports`, a stored report was delivered late.
-    const counts: Record<string, number> = { ...world.simulatedUsers.effects, keptReports: world.storedReportsDelivered };
+    // `keptReports`, a stored report was delivered late, or, if WHAT is `copies:KIND`, a copy of a message was delivered.
+    const copies = Object.entries(world.copies.counts).map(([kind, { delivered }]) => [`copies:${kind}`, delivered]);
+    const counts: Record<string, number> = {
+      ...world.simulatedUsers.effects,
+      keptReports: world.storedReportsDelivered,
+      ...Object.fromEntries(copies),
+    };
     const n = counts[what];
     if (n === undefined) throw new Error(`${step.line}: expected one of ${Object.keys(counts).join(", ")}`);
     return check(n >= Number(d), n);
