Workers: an attempt is discarded only when no copy of its start can take effect

Cause: a direct start counted as spent once it was answered. The worker obeys a copy of the command as long as token and session match and, after 'clear', does not know the attempt any more, so it starts it again. The check stood in one path: a clear was held back while a direct start was unanswered, not after. Class: an effect whose condition becomes true again.

Fix: DirectStarts records token and session of each direct start and alone decides whether it is spent. 'clear' and 'not listed' ask it. An exited attempt that was started directly is discarded under a higher token: the answer with the clear raises the worker's token first, so a copy gets 409. The token is the newest revision up to which this node has read all changes while the owner record still has its term; each later claim gets a higher revision, so an heir is always obeyed. It costs no write while anything in the state service changes; otherwise one write a partition and half a lease. It is not raised while a command is in flight. Tokens in reports are compared with the highest one granted, not with the term. Checked at run time: no clear under a token that a start may match (left out, logged as error), and no attempt of this term on a machine again after its proof (error, attempts_seen_again_total).

Tests replaced: 'orders are sent only by the incarnation that claimed the partition' found the claim by an equal token. It now requires for every answer and every command that the newest claim at or below the token is the sender's, over all claims of the run. The variant of a process that continues its predecessor's term runs on after the new invariant is violated, since it is to break rules. A hand-made case records its direct start where the code does.

--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -87,6 +87,15 @@
   life: string;
 }
 
+/**
+ * Written by a partition's owner only to make a new revision, which it needs as a token for its workers: above the revision
+ * `above`. Nobody reads the value.
+ */
+export interface TokenRecord {
+  term: number;
+  above: number;
+}
+
 /** Shows that a controller is alive; removed by the state service when the controller's lease expires. */
 export interface PresenceRecord {
   life: string;
@@ -161,6 +170,7 @@
   needLists: "t/n/",
   rentals: "t/m/",
   owners: "t/o/",
+  tokens: "t/f/",
   presence: "t/l/",
   suspicions: "t/x/",
   quotaShares: "t/q/",
@@ -175,6 +185,7 @@
   /** A rental that does not fit into one record has further ones, with an `index` above 0. */
   rental: (name: string, index = 0) => `t/m/${name}${index > 0 ? `/${index}` : ""}`,
   owner: (partition: number) => `t/o/${partition}`,
+  token: (partition: number) => `t/f/${partition}`,
   presenceOf: (node: string) => `t/l/${node}`,
   suspicion: (node: string) => `t/x/${node}`,
   /** The team's name is encoded, because it may contain any character and keys must not contain spaces. */
--- a/src/ledger/state-replica.ts
+++ b/src/ledger/state-replica.ts
@@ -242,6 +242,14 @@
     return [...(this.slicesByJob.get(ref) ?? [])].map((key) => [key, table.get(key)!]);
   }
 
+  /**
+   * Revision up to which the replica holds all changes; -1 before the first load. A record with a stamp that is not higher was
+   * still the key's newest at this revision.
+   */
+  get completeRevision(): number {
+    return this.revision;
+  }
+
   /** Upper bound on the age of the replica's content, in ms. */
   ageMs(): number {
     return this.clock.now() - this.currentAsOf;
--- a/src/partitions/audit.ts
+++ b/src/partitions/audit.ts
@@ -3,9 +3,11 @@
  * everywhere, so that the history of one task can be assembled from the logs of all controllers (docs/operations.md).
  */
 import { TokenBucket, type SteadyClock } from "@thorntrail/protocol/token-bucket";
+import type { Report } from "@thorntrail/protocol/worker";
 import type { Log } from "../platform/log.js";
 import { taskId, type Placement } from "../queue/task-set.js";
 import type { EndedAttempt } from "../job-classes/class-accounting.js";
+import type { SpentStart } from "../workers/direct-starts.js";
 import type { FenceProof, Machine } from "../workers/machine.js";
 import type { Partition } from "../partitions/partition.js";
 
@@ -93,11 +95,32 @@
 
   /**
    * Logs that a worker was ordered to discard an exited attempt, because it has no result or its result is recorded
-   * in the state service.
+   * in the state service; `spent` is why no copy of its start can take effect afterwards.
    */
-  logCleared(partition: Partition, machine: Machine, clearedTaskId: string, attempt: number): void {
+  logCleared(partition: Partition, machine: Machine, clearedTaskId: string, attempt: number, spent: SpentStart): void {
     if (!this.verbose) return;
-    const { host, session } = machine;
-    this.log.debug({ part: partition.id, term: partition.term, piece: clearedTaskId, attempt, host, session }, "attempt cleared");
+    const { host, session, grantedToken: token } = machine;
+    const { id: part, term } = partition;
+    this.log.debug({ part, term, piece: clearedTaskId, attempt, host, session, token, spent }, "attempt cleared");
+  }
+
+  /** Logs that a worker's token was raised from `from`; `heldMs` is how long discards had waited for that. */
+  logTokenRaised(partition: Partition, machine: Machine, from: number, heldMs: number): void {
+    if (!this.verbose) return;
+    const { host, session, grantedToken: to } = machine;
+    const readAgoMs = Math.round(this.proofAgeMs());
+    this.log.debug(
+      { part: partition.id, term: partition.term, host, session, from, to, heldMs: Math.round(heldMs), readAgoMs },
+      "token raised",
+    );
+  }
+
+  /** Logs that a worker refused a command with starts, because it has seen a higher token or is in another session. */
+  logStartsRefused(partition: Partition, machine: Machine, sent: { token: number; session: number }, shown: Report, starts: number): void {
+    const { host } = machine;
+    this.log.info(
+      { part: partition.id, term: partition.term, host, sent, shown: { token: shown.token, session: shown.session }, starts },
+      "direct starts refused",
+    );
   }
 }
--- a/src/partitions/finding-effects.ts
+++ b/src/partitions/finding-effects.ts
@@ -37,6 +37,7 @@
     const { audit } = this.context;
     for (const { machine, proof } of findings.fenced) audit.logFenced(partition, machine, proof);
     for (const { placement, wanted } of findings.adopted) audit.logAdopted(partition, placement, wanted);
+    for (const placement of findings.seenAgain) this.reportSeenAgain(partition, placement);
     for (const placement of findings.started) this.recordTaskStart(partition, placement);
     for (const ended of findings.ended) {
       audit.logGone(partition, ended);
@@ -60,6 +61,17 @@
     });
   }
 
+  /** Reports an attempt that is on a machine although this owner had a proof that it no longer exists, which is always a defect. */
+  private reportSeenAgain(partition: Partition, placement: Placement): void {
+    const { taskSet, task, attempt, host, state } = placement;
+    const machine = partition.machines.get(host);
+    this.context.stats.seenAgain++;
+    this.context.scope.invariants.reportViolation("an attempt that was proven gone is not on a machine again", {
+      ...{ part: partition.id, term: partition.term, host, session: machine?.session, token: machine?.token },
+      ...{ piece: taskId(taskSet, task), attempt, state },
+    });
+  }
+
   private recordTaskStart(partition: Partition, placement: Placement): void {
     const { spec, submittedWall, migrated: moved } = placement.taskSet;
     this.context.stats.starts++;
--- a/src/partitions/leader-context.ts
+++ b/src/partitions/leader-context.ts
@@ -20,6 +20,12 @@
   fencedMs: number;
   /** Number of terms that this node ended because a worker reported a newer owner's token. */
   superseded: number;
+  /** Number of times that a worker's token was raised within a term. */
+  tokensRaised: number;
+  /** Number of direct starts that workers refused because of their token or session. */
+  startsRefused: number;
+  /** Number of attempts that were on a machine again after a proof that they no longer exist. */
+  seenAgain: number;
 }
 
 /** State of the owned partitions, and the event streams and services that the owner's components share. */
--- a/src/partitions/leader.ts
+++ b/src/partitions/leader.ts
@@ -29,6 +29,7 @@
 import { Recovery } from "../partitions/recovery.js";
 import { ReportHandler } from "../partitions/report-handler.js";
 import { StartGuard } from "../partitions/start-guard.js";
+import { TokenRaiser } from "../partitions/token-raiser.js";
 import { summarize } from "../partitions/summary.js";
 import { LeaseWatch } from "../partitions/lease-watch.js";
 
@@ -58,7 +59,16 @@
   readonly startGuard: StartGuard;
   private wasSilent = false;
   private readonly classShares: ClassShares;
-  readonly stats: LeaderStats = { starts: 0, takeovers: 0, preemptions: 0, fencedMs: 0, superseded: 0 };
+  readonly stats: LeaderStats = {
+    starts: 0,
+    takeovers: 0,
+    preemptions: 0,
+    fencedMs: 0,
+    superseded: 0,
+    tokensRaised: 0,
+    startsRefused: 0,
+    seenAgain: 0,
+  };
 
   constructor(
     readonly settings: Settings,
@@ -81,7 +91,8 @@
     this.classShares = new ClassShares(settings, replica, scope);
     this.scheduler = new Scheduler(this, quotaShares, guarantees, overload, this.classShares);
     const machineStartup = new MachineStartup(this, replica, rentals, committer);
-    this.reportHandler = new ReportHandler(this, replica, rentals, progress, machineStartup, effects, this.leaseWatch);
+    const tokens = new TokenRaiser(this, replica, committer);
+    this.reportHandler = new ReportHandler(this, replica, rentals, progress, machineStartup, effects, this.leaseWatch, tokens);
     this.ownedPartitions = new OwnedPartitions(this, incarnation, replica, rentals, needs, progress, effects, this.leaseWatch);
   }
 
--- a/src/partitions/lease-watch.ts
+++ b/src/partitions/lease-watch.ts
@@ -81,6 +81,7 @@
     const { expiryMs } = settings.timing;
     const { host, session, answeredAt } = machine;
     machine.lost = true;
+    machine.expiredSession = session;
     const findings = newFindings();
     fence(partition, machine, "lease", findings.fenced);
     dropAllAttempts({ partition, machine, now, findings }, { by: "lease over", answeredAt, expiryMs, provenAt });
--- a/src/partitions/partition.ts
+++ b/src/partitions/partition.ts
@@ -12,6 +12,8 @@
 export interface Partition {
   id: number;
   term: number;
+  /** Highest token that this owner has granted to any worker; a worker that shows a higher one has, or had, a newer owner. */
+  newestToken: number;
   /**
    * `fencing`: no task starts, no task set migrates and no quota is transferred until every machine is fenced, so
    * that no start ordered by a former owner can take effect on it. `serving`: all machines are fenced.
@@ -40,6 +42,7 @@
   return {
     id,
     term,
+    newestToken: term,
     phase: "fencing",
     takenOverAt: now,
     machines: new Map(),
@@ -61,13 +64,28 @@
   return partition.term * ATTEMPTS_PER_TERM + partition.attemptCounter;
 }
 
-/** Adds a machine and counts its resource usage and attempts towards those of the partition. */
+/** Returns whether this owner assigned the attempt number in its present term. */
+export function isOwnAttempt(partition: Partition, attempt: number): boolean {
+  return Math.floor(attempt / ATTEMPTS_PER_TERM) === partition.term;
+}
+
+/** Adds a machine, grants it the term as its token, and counts its resource usage and attempts towards those of the partition. */
 export function addMachine(partition: Partition, machine: Machine): void {
+  machine.grantedToken = partition.term;
   machine.teamUsage = partition.usage;
   machine.attempts = partition.attempts;
   partition.machines.set(machine.host, machine);
 }
 
+/**
+ * Raises the token of the messages to a worker. `revision` is a revision of the state service at which this owner held the
+ * partition: a later owner's term is higher, so the worker obeys that owner, and no command sent under a lower token.
+ */
+export function raiseToken(partition: Partition, machine: Machine, revision: number): void {
+  machine.grantedToken = Math.max(machine.grantedToken, revision);
+  partition.newestToken = Math.max(partition.newestToken, revision);
+}
+
 /**
  * Adds a task set to the queue. Tasks of which an attempt was already seen on a machine are withheld, so that they do
  * not start a second time.
--- a/src/partitions/report-handler.ts
+++ b/src/partitions/report-handler.ts
@@ -10,7 +10,8 @@
 import type { Machine } from "../workers/machine.js";
 import { newFindings, applyReport, type ReportContext } from "../workers/report-intake.js";
 import { recordLeaseRenewal } from "../workers/lease.js";
-import { ordersFor } from "../workers/orders.js";
+import { hasHeldClear, ordersFor } from "../workers/orders.js";
+import { ClearGuard } from "../partitions/clear-guard.js";
 import type { MachineStartup } from "../partitions/machine-startup.js";
 import type { FindingEffects } from "../partitions/finding-effects.js";
 import type { NewerToken } from "../partitions/ended-terms.js";
@@ -18,6 +19,7 @@
 import type { Partition } from "../partitions/partition.js";
 import type { Progress } from "../partitions/progress.js";
 import type { LeaseWatch } from "../partitions/lease-watch.js";
+import type { TokenRaiser } from "../partitions/token-raiser.js";
 
 /** Maximum number of orders in one answer to a worker's report. */
 const MAX_ORDERS = 250;
@@ -25,6 +27,7 @@
 /** Applies what workers report to the owned partitions and determines the answers. */
 export class ReportHandler {
   private readonly anomalies: RateLimitedLog;
+  private readonly clearGuard: ClearGuard;
 
   constructor(
     private readonly context: LeaderContext,
@@ -34,8 +37,10 @@
     private readonly machineStartup: MachineStartup,
     private readonly effects: FindingEffects,
     private readonly leaseWatch: LeaseWatch,
+    private readonly tokens: TokenRaiser,
   ) {
     const { clock, log } = context.scope;
+    this.clearGuard = new ClearGuard(context.scope, context.audit);
     this.anomalies = new RateLimitedLog(clock, log, context.settings.timing.leaseMs);
   }
 
@@ -53,7 +58,7 @@
     const partition = this.context.partitions.get(record.partition);
     if (partition === undefined)
       return { kind: "elsewhere", boss: this.replica.get<OwnerRecord>(keys.owner(record.partition))?.v.owner ?? null };
-    if (report.token > partition.term) {
+    if (report.token > partition.newestToken) {
       this.handleNewerToken(partition, report, "report");
       const owner = this.replica.get<OwnerRecord>(keys.owner(record.partition))?.v.owner ?? null;
       return { kind: "elsewhere", boss: owner === this.context.settings.self ? null : owner };
@@ -62,17 +67,17 @@
     if (machine === undefined || machine.deleting) return { kind: "silent" };
     const newer = this.applyReport(partition, machine, report, true);
     if (!machine.up) this.machineStartup.record(partition, machine);
-    const orders = machine.up ? this.orders(partition, machine) : [];
     const free = newer && machine.fenced;
-    if (free)
-      for (const order of orders)
-        if (order.verb === "clear") this.context.audit.logCleared(partition, machine, order.taskId, order.attempt);
+    if (free && hasHeldClear(machine, (task) => this.isClearable(task))) this.tokens.raise(partition, machine);
+    else if (free) machine.clearHeldSince = null;
+    const orders = machine.up ? this.orders(partition, machine) : [];
     if (free) for (const placement of machine.placements.values()) if (placement.state === null) placement.startSentSeq = report.seq;
     recordLeaseRenewal(machine, newer, this.context.now);
     // Every answer renews the lease, so each contains the stop orders: a machine that receives nothing more would
     // otherwise run tasks of cancelled jobs for another lease. Other orders are sent only to a fenced machine and only in
     // answer to its newest report.
-    return { kind: "orders", token: partition.term, orders: free ? orders : orders.filter(({ verb }) => verb === "stop") };
+    const allowed = free ? this.clearGuard.check(partition, machine, orders) : orders.filter(({ verb }) => verb === "stop");
+    return { kind: "orders", token: machine.grantedToken, orders: allowed };
   }
 
   private orders(partition: Partition, machine: Machine): Order[] {
@@ -96,18 +101,18 @@
   /** Handles the report in a worker's reply to a direct command. */
   onCommandReply(partition: Partition, machine: Machine, report: Report): void {
     if (this.context.partitions.get(partition.id) !== partition || partition.machines.get(machine.host) !== machine) return;
-    if (report.token > partition.term) return this.handleNewerToken(partition, report, "command reply");
+    if (report.token > partition.newestToken) return this.handleNewerToken(partition, report, "command reply");
     this.applyReport(partition, machine, report, false);
   }
 
   /** Handles a worker's reply to a probe. Only the token in it is used. */
   onProbeReply(report: Report): void {
     const partition = this.context.partitions.get(this.rentals.get(report.host)?.partition ?? -1);
-    if (partition !== undefined && report.token > partition.term) this.handleNewerToken(partition, report, "probe");
+    if (partition !== undefined && report.token > partition.newestToken) this.handleNewerToken(partition, report, "probe");
   }
 
   /**
-   * Handles a worker's report whose token is above the partition's term. The rest of the report is ignored, as a newer
+   * Handles a worker's report whose token is above all that this owner granted. The rest of the report is ignored, as a newer
    * owner may have had tasks stopped, discarded and restarted.
    */
   private handleNewerToken(partition: Partition, { host, token }: Report, seenIn: NewerToken["seenIn"]): void {
--- a/src/queue/task-set.ts
+++ b/src/queue/task-set.ts
@@ -20,8 +20,7 @@
   timesReliable: boolean;
   /**
    * State of a start order sent in a direct command, not in the answer to a report. `unresolved`: the command got no
-   * answer, so it may still arrive as long as the worker's session lasts. The worker is never ordered to discard such
-   * an attempt (`clear`), because a late start order would then start it again.
+   * answer, so it may not have arrived yet. Whether it, or a copy of it, may still take effect: see `DirectStarts`.
    */
   directStart: "none" | "flying" | "unresolved" | "answered";
   stop: { graceS: number } | null;
--- a/src/rehearsal/spawn-controller.ts
+++ b/src/rehearsal/spawn-controller.ts
@@ -19,12 +19,14 @@
   environment: ControllerDependencies,
   memory?: () => MemoryUsage,
   adjust: (settings: Settings) => Settings = (settings) => settings,
+  { strictInvariants = true }: { strictInvariants?: boolean } = {},
 ) {
   const settings = adjust(derive(checkPlatform("rehearsal", environment.platform), checkOperators("rehearsal", {})));
   const verbose = process.env["SCENARIO_LOG"] !== undefined;
   const log = { ...environment.log, isLevelEnabled: (level: string) => verbose || level !== "debug" } as unknown as Log;
-  // Invariants are strict: a violation ends the rehearsal, because in virtual time there are no users for whom to continue.
-  const scope = new Scope(new StallDetectingClock(environment.clock, settings.timing.stallMs), log, undefined, new Invariants(log, true));
+  // By default a violated invariant ends the rehearsal, because in virtual time there are no users for whom to continue.
+  const invariants = new Invariants(log, strictInvariants);
+  const scope = new Scope(new StallDetectingClock(environment.clock, settings.timing.stallMs), log, undefined, invariants);
   const { state, cloud, workers } = environment;
   // The random source is seeded with the node and its incarnation, so that rehearsals with the same seed run identically.
   const random = seededRandom(createHash("sha256").update(`${settings.self} ${environment.incarnation}`).digest().readInt32BE());
--- a/src/status/exposition.ts
+++ b/src/status/exposition.ts
@@ -65,6 +65,9 @@
     );
     gauge("stale_restarts_total", "Tasks ordered again without fresh proof of ownership", () => leader.audit.staleRestarts);
     gauge("superseded_terms_total", "Terms that ended because a worker reported a newer owner's token", () => leader.stats.superseded);
+    gauge("tokens_raised_total", "Times that a worker's token was raised within a term", () => leader.stats.tokensRaised);
+    gauge("direct_starts_refused_total", "Direct starts that workers refused for their token or session", () => leader.stats.startsRefused);
+    gauge("attempts_seen_again_total", "Attempts on a machine after a proof that they no longer exist", () => leader.stats.seenAgain);
     gauge("starts_total", "Attempts reported as running", () => leader.stats.starts);
     gauge("preemptions_total", "Tasks stopped for work of higher priority", () => leader.stats.preemptions);
     gauge("takeovers_total", "Partitions taken over", () => leader.stats.takeovers);
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -2,6 +2,7 @@
 import type { ReportedTask } from "@thorntrail/protocol/worker";
 import { AttemptRegistry } from "../queue/attempts.js";
 import type { Placement } from "../queue/task-set.js";
+import { DirectStarts } from "./direct-starts.js";
 
 /** Resources of a machine or of a share of it; `ram` in GB. */
 export interface Capacity {
@@ -31,7 +32,13 @@
   fenced: boolean;
   session: number;
   seq: number;
+  /** Highest token that the worker has seen, as it last reported. */
   token: number;
+  /**
+   * Token of every message to the worker: the owner's term at first, later a revision at which it still owned the partition.
+   * Never lowered, because the worker drops what carries a lower token than it has seen.
+   */
+  grantedToken: number;
   /** When the newest state of the worker was received, in a report or in the reply to a command. */
   lastReceivedAt: number;
   /** When the last report was received; before the first one, when this owner took the partition. Only reports renew the lease. */
@@ -40,6 +47,8 @@
   answeredAt: number;
   /** The machine's lease has provably expired, so its tasks are gone. */
   lost: boolean;
+  /** Last session of which the lease has provably expired; reports of it that still arrive describe the past. 0 if there is none. */
+  expiredSession: number;
   noticeAt: number | null;
   rentedAt: number;
   idleSince: number;
@@ -51,11 +60,10 @@
   images: Set<string>;
   placements: Map<string, Placement>;
   exited: Map<string, ReportedTask>;
-  /**
-   * Keys of attempts whose start order was sent in a direct command (not in the answer to a report) and has not been
-   * answered, so it may still arrive in this session.
-   */
-  unresolvedStarts: Set<string>;
+  /** Start orders that were sent in direct commands, in this session. */
+  directStarts: DirectStarts;
+  /** Since when an exited attempt has been listed only because a copy of its start could still take effect; null if there is none. */
+  clearHeldSince: number | null;
   commandInFlight: boolean;
   /** Number of consecutive direct commands that failed; `nextCommandAt` is when the next one may be sent. */
   failedCommands: number;
@@ -107,10 +115,12 @@
     session: 0,
     seq: 0,
     token: 0,
+    grantedToken: 0,
     lastReceivedAt: -Infinity,
     lastReportAt: -Infinity,
     answeredAt: -Infinity,
     lost: false,
+    expiredSession: 0,
     noticeAt: null,
     rentedAt,
     idleSince: rentedAt,
@@ -121,7 +131,8 @@
     images: new Set(),
     placements: new Map(),
     exited: new Map(),
-    unresolvedStarts: new Set(),
+    directStarts: new DirectStarts(),
+    clearHeldSince: null,
     commandInFlight: false,
     failedCommands: 0,
     lastCommandError: null,
--- a/src/workers/orders.ts
+++ b/src/workers/orders.ts
@@ -4,6 +4,7 @@
 import type { Order, ReportedTask } from "@thorntrail/protocol/worker";
 import { taskId, type Placement } from "../queue/task-set.js";
 import type { Machine } from "./machine.js";
+import { MAX_REPORT_BYTES } from "./report-endpoint.js";
 
 /** Inputs that determine the orders for a machine besides the state of the machine itself. */
 export interface WorkerOrderContext {
@@ -17,6 +18,30 @@
   max: number;
 }
 
+/** Size in bytes of the longest entry of a report for one attempt, with the separators. */
+const MAX_ENTRY_BYTES = 128;
+/** Share of a report for exited attempts that cannot be discarded yet; the rest is for the attempts that use the machine. */
+const EXITED_SHARE = 1 / 4;
+/**
+ * Number of exited attempts on a machine from which its starts are sent in answers to reports only: those attempts can be
+ * discarded whatever token the worker has seen, so that the list does not outgrow a report.
+ */
+export const MAX_EXITED_WITH_DIRECT_STARTS = Math.floor((MAX_REPORT_BYTES * EXITED_SHARE) / MAX_ENTRY_BYTES);
+
+/** Returns the exited attempts of the machine that are no longer needed on the worker. */
+function clearableAttempts(machine: Machine, isClearable: WorkerOrderContext["isClearable"]): [key: string, task: ReportedTask][] {
+  return [...machine.exited].filter(([, task]) => isClearable(task));
+}
+
+/**
+ * Returns whether the worker may not yet discard an exited attempt that is no longer needed, because a copy of its direct start
+ * could still take effect under the token granted to the worker.
+ */
+export function hasHeldClear(machine: Machine, isClearable: WorkerOrderContext["isClearable"]): boolean {
+  const { directStarts, session, grantedToken } = machine;
+  return clearableAttempts(machine, isClearable).some(([key]) => directStarts.spentBy(key, session, grantedToken) === null);
+}
+
 /**
  * Returns whether a start and a stop are sent together to resolve a start order that was sent in a direct command
  * (not in the answer to a report) and got no reply. Such a start may arrive for as long as the session lasts:
@@ -62,7 +87,7 @@
         orders.push({ verb: "stop", taskId: id, attempt: placement.attempt, graceS: placement.stop.graceS });
       }
     } else if (placement.state === null && !placement.taskSet.ended) {
-      if (channel === "direct" && placement.directStart !== "none") continue;
+      if (channel === "direct" && (placement.directStart !== "none" || machine.exited.size >= MAX_EXITED_WITH_DIRECT_STARTS)) continue;
       if (!canSendStart(machine, placement, context)) continue;
       orders.push({ verb: "start", taskId: id, attempt: placement.attempt });
     }
@@ -70,9 +95,10 @@
   // `clear` orders, which discard an exited attempt, are sent only in answers to reports, since these cannot overtake
   // each other: after a `clear`, a repeated `start` of the attempt that arrives later would run it again.
   if (channel === "report") {
-    for (const [key, task] of machine.exited) {
+    const { directStarts, session, grantedToken } = machine;
+    for (const [key, task] of clearableAttempts(machine, isClearable)) {
       if (orders.length >= max) break;
-      if (!machine.unresolvedStarts.has(key) && isClearable(task))
+      if (directStarts.spentBy(key, session, grantedToken) !== null)
         orders.push({ verb: "clear", taskId: task.taskId, attempt: task.attempt });
     }
   }
--- a/src/workers/report-intake.ts
+++ b/src/workers/report-intake.ts
@@ -2,7 +2,7 @@
  * Updates the owner's in-memory state of machines and attempts from workers' reports. It makes no scheduling decisions.
  */
 import type { Report, ReportedTask } from "@thorntrail/protocol/worker";
-import { findTaskSet, type Partition } from "../partitions/partition.js";
+import { findTaskSet, isOwnAttempt, type Partition } from "../partitions/partition.js";
 import { taskNumber } from "../queue/attempts.js";
 import {
   isBrokenGang,
@@ -34,6 +34,8 @@
   started: Placement[];
   /** Attempts that this owner has no record of ordering; `wanted` if they may continue. */
   adopted: { placement: Placement; wanted: boolean }[];
+  /** Attempts of this term that are on a machine although they were proven to no longer exist. */
+  seenAgain: Placement[];
   /** Attempts that provably no longer exist, and how they ended. */
   ended: EndedAttempt[];
   /** Attempts that were to be removed on the basis of an invalid proof, and therefore remain registered. */
@@ -60,6 +62,7 @@
     runs: [],
     started: [],
     adopted: [],
+    seenAgain: [],
     ended: [],
     unproven: [],
     fenced: [],
@@ -90,7 +93,7 @@
 function dropAttempt({ partition, machine, now, findings }: DropContext, key: string, placement: Placement, ending: ProvenEnd): void {
   const { taskSet, runningAt, timesReliable, attempt, host } = placement;
   const { proof, end, kept = false } = ending;
-  const flaw = proofFlaw(proof, partition.term);
+  const flaw = proofFlaw(proof, partition.newestToken);
   if (flaw !== null) {
     findings.unproven.push({ placement, proof, flaw });
     return;
@@ -203,6 +206,7 @@
   }
   addAttempt(machine, attemptKey(task.taskId, task.attempt), placement);
   findings.adopted.push({ placement, wanted });
+  if (isOwnAttempt(partition, task.attempt) && machine.session > machine.expiredSession) findings.seenAgain.push(placement);
   findings.changed = true;
   return placement;
 }
@@ -232,7 +236,7 @@
 function beginSession(dropContext: DropContext, { session, token }: Report): void {
   const { machine, now, findings } = dropContext;
   if (machine.session > 0) dropAllAttempts(dropContext, { by: "new session", token });
-  machine.unresolvedStarts.clear();
+  if (machine.session > 0) machine.directStarts.clear();
   machine.session = session;
   // A session begins with a full lease without any answer. It began no later than now, and attempts started in it by
   // direct commands live until that lease expires. If the lease were counted from the last answer alone, a machine
@@ -252,6 +256,7 @@
 ): void {
   machine.seq = report.seq;
   machine.token = report.token;
+  machine.grantedToken = Math.max(machine.grantedToken, report.token);
   machine.addr = report.addr;
   if (machine.lastReceivedAt === -Infinity || machine.lost) findings.changed = true;
   machine.lastReceivedAt = now;
@@ -297,18 +302,20 @@
 function dropUnlistedAttempts(dropContext: DropContext, listed: ReadonlySet<string>, report: Report, viaReport: boolean): void {
   const { machine } = dropContext;
   const unlistedEnd: ProvenEnd = { proof: { by: "not listed", token: report.token }, end: "unseen" };
-  for (const key of [...machine.exited.keys()]) if (!listed.has(key)) machine.exited.delete(key);
-  for (const [key, placement] of [...machine.placements]) {
+  for (const key of [...machine.exited.keys()]) {
     if (listed.has(key)) continue;
-    if (placement.state !== null) {
-      // An attempt that was reported and is no longer listed in the same session was discarded by a `clear` order.
-      dropAttempt(dropContext, key, placement, unlistedEnd);
-      continue;
-    }
-    // An order in the answer to a report is executed before the worker's next report or never. A direct command that
-    // got no reply may still arrive, so its attempt remains registered.
-    const settled = placement.directStart === "none" && viaReport && report.seq > placement.startSentSeq;
-    if (settled && (placement.stop !== null || placement.taskSet.ended)) dropAttempt(dropContext, key, placement, unlistedEnd);
+    machine.exited.delete(key);
+    machine.directStarts.forget(key);
+  }
+  for (const [key, placement] of [...machine.placements]) {
+    // A start that may still take effect keeps its attempt registered. On an unfenced machine, a former owner's may.
+    if (listed.has(key) || !machine.fenced || machine.directStarts.spentBy(key, report.session, report.token) === null) continue;
+    // An attempt that was reported and is no longer listed in the same session was discarded by a `clear` order.
+    const discarded = placement.state !== null;
+    const neverStarted = viaReport && report.seq > placement.startSentSeq && (placement.stop !== null || placement.taskSet.ended);
+    if (!discarded && !neverStarted) continue;
+    machine.directStarts.forget(key);
+    dropAttempt(dropContext, key, placement, unlistedEnd);
   }
 }
 
--- a/test/compound-faults.test.ts
+++ b/test/compound-faults.test.ts
@@ -11,7 +11,7 @@
 import { runSchedulingCycle } from "../src/queue/scheduling-cycle.js";
 import { spawnController } from "../src/rehearsal/spawn-controller.js";
 import type { Report, ReportedTask } from "@thorntrail/protocol/worker";
-import { isUsable } from "../src/workers/machine.js";
+import { attemptKey, isUsable } from "../src/workers/machine.js";
 import { isLeaseExpired, recordLeaseRenewal } from "../src/workers/lease.js";
 import { newFindings, applyReport, type ReportContext } from "../src/workers/report-intake.js";
 import { ordersFor } from "../src/workers/orders.js";
@@ -166,6 +166,7 @@
   const placement = [...taskSet.placements.values()][0]!;
   placement.directStart = "unresolved";
   const taskId = "run-000001/0";
+  machine.directStarts.recordSent(attemptKey(taskId, placement.attempt), 1, partition.term);
   const report = (seq: number, tasks: ReportedTask[]): Report => ({
     host: machine.host,
     addr: "x",
--- a/test/restarts.test.ts
+++ b/test/restarts.test.ts
@@ -84,17 +84,36 @@
 });
 
 test("orders are sent only by the incarnation that claimed the partition", async () => {
-  let answers = 0;
+  /** Incarnations that claimed each partition, by the claim's revision. */
+  const claims = new Map<number, Map<number, string>>();
+  const sent: { partition: number; token: number; incarnation: string }[] = [];
   const spawn: typeof spawnController = (request) => {
-    const controller = spawnController(request);
+    const recordSent = (host: string, token: number): void => {
+      const owned = [...controller.leader.partitions.values()].find(({ machines }) => machines.has(host));
+      assert.ok(owned !== undefined, `orders to ${host}, which is in no owned partition`);
+      sent.push({ partition: owned.id, token, incarnation: request.incarnation });
+    };
+    const { command } = request.workers;
+    const controller = spawnController({
+      ...request,
+      workers: {
+        command: (addr, token, session, orders) => {
+          // A probe has the lowest token and no orders.
+          if (token > 0) recordSent(addr, token);
+          return command(addr, token, session, orders);
+        },
+      },
+    });
+    controller.replica.changes$.subscribe((key) => {
+      if (!key.startsWith(keys.owners)) return;
+      const claim = controller.replica.get<OwnerRecord>(key);
+      const partition = Number(key.slice(keys.owners.length));
+      if (claim !== undefined) claims.set(partition, (claims.get(partition) ?? new Map<number, string>()).set(claim.stamp, claim.v.life));
+    });
     const { onReport } = controller;
     controller.onReport = (report) => {
       const answer = onReport(report);
-      if (answer.kind !== "orders") return answer;
-      answers++;
-      const claims = controller.settings.nodes.map((_, partition) => controller.replica.get<OwnerRecord>(keys.owner(partition)));
-      const claim = claims.find((entry) => entry?.stamp === answer.token);
-      assert.deepEqual([claim?.v.life, claim?.v.owner], [request.incarnation, request.platform["host_name"]]);
+      if (answer.kind === "orders") recordSent(report.host, answer.token);
       return answer;
     };
     return controller;
@@ -102,7 +121,14 @@
   const faults = [12, 14, 20, 21, 22, 30].map((at): [number, FaultFields] => [at, { kind: "restart", target: "all", for: 0.1 }]);
   const report = await runVirtual({ plan: planWith([...faults, [13, { kind: "lose" }]]), seed: 3, spawn, injectionPointOf });
   assert.deepEqual([report.broken, report.jobs.unfinished], [[], []]);
-  assert.ok(answers > 100);
+  assert.ok(sent.length > 100);
+  let raised = 0;
+  for (const { partition, token, incarnation } of sent) {
+    const stamps = [...claims.get(partition)!.keys()].filter((stamp) => stamp <= token);
+    assert.equal(claims.get(partition)!.get(Math.max(...stamps)), incarnation, `partition ${partition}, token ${token}`);
+    if (!stamps.includes(token)) raised++;
+  }
+  assert.ok(raised > 0, "some tokens were raised above the term");
 });
 
 test("duplicate and late reports of a worker that was briefly down have the effect of the newest one", () => {
@@ -151,7 +177,9 @@
 
 test("a new incarnation that continued under its predecessor's term would be detected", async () => {
   // Faulty variant: a restarted controller keeps its incarnation, so it takes its predecessor's owner record for its own.
-  const spawn: typeof spawnController = (request) => spawnController({ ...request, incarnation: String(request.platform["host_name"]) });
+  // Violated invariants do not end the rehearsal, because the broken rules are to be seen.
+  const spawn: typeof spawnController = (request) =>
+    spawnController({ ...request, incarnation: String(request.platform["host_name"]) }, undefined, undefined, { strictInvariants: false });
   const plan = planWith(
     [12, 16, 20, 24, 28, 32].flatMap((at): [number, FaultFields][] => [
       [at, { kind: "delay", target: "all", to: "workers", ms: 6000, for: 2 }],
--- a/test/world/takeover-model.ts
+++ b/test/world/takeover-model.ts
@@ -1,7 +1,7 @@
 /**
  * Randomised model of one partition under a sequence of owners, with several machines, job arrays and gangs. It uses the
  * production report handler, lease watch, command dispatch and scheduling cycle, and the emulator's workers. Messages between
- * them are delayed by up to many seconds, lost, repeated and reordered. Before each takeover, tasks are preempted and start
+ * them are delayed by up to many seconds, lost, repeated and reordered; a repeated command may arrive after it was answered. Before each takeover, tasks are preempted and start
  * again on other machines, and some machines become slow to reach; reports that arrive before the new owner starts are queued
  * and read in random order. Completed tasks are durable at once.
  */
@@ -13,6 +13,7 @@
 import { CallError } from "@thorntrail/protocol/errors";
 import type { JobSpec } from "@thorntrail/protocol/jobs";
 import type { CommandReply, Report, ReportAnswer, WorkerApi } from "@thorntrail/protocol/worker";
+import type { GroupCommitter } from "../../src/ledger/group-committer.js";
 import type { StateReplica } from "../../src/ledger/state-replica.js";
 import type { RentalIndex } from "../../src/ledger/rentals.js";
 import { Audit } from "../../src/partitions/audit.js";
@@ -25,6 +26,7 @@
 import type { Recovery } from "../../src/partitions/recovery.js";
 import { ReportHandler } from "../../src/partitions/report-handler.js";
 import { StartGuard } from "../../src/partitions/start-guard.js";
+import { TokenRaiser } from "../../src/partitions/token-raiser.js";
 import { LeaseWatch } from "../../src/partitions/lease-watch.js";
 import { Scope } from "../../src/platform/scope.js";
 import { RunTimeHistory } from "../../src/queue/history.js";
@@ -78,11 +80,16 @@
 const SLOW_MACHINES = 3;
 const STOPS = 7;
 
-/** Fractions of messages that are lost and of reports that arrive twice, the second time up to `REPEATED_LATEST_MS` later. */
+/** Fractions of messages that are lost and of reports and commands that arrive twice, the second time up to `REPEATED_LATEST_MS` later. */
 const LOST = 0.06;
 const REPEATED = 0.3;
 const REPEATED_LATEST_MS = 25_000;
 
+/** Newest revision of the state service, which the next owner's term exceeds. */
+interface Revision {
+  newest: number;
+}
+
 /** One owner of the partition: the production components of one term, with stubs for the state service. */
 class Owner {
   readonly partition: Partition;
@@ -92,7 +99,8 @@
   readonly dispatch$ = new Subject<{ partition: Partition; machine: Machine }>();
   readonly partitions: Map<number, Partition>;
 
-  constructor(term: number, clock: VirtualClock, hosts: Iterable<Worker>, done: Set<string>, workers: WorkerApi, errors: string[]) {
+  constructor(revision: Revision, clock: VirtualClock, hosts: Iterable<Worker>, done: Set<string>, workers: WorkerApi, errors: string[]) {
+    const term = ++revision.newest;
     const ignore = (): void => undefined;
     const fail = (entry: unknown, text?: string): void => void errors.push(`${text} ${JSON.stringify(entry)}`);
     this.scope = new Scope(clock, { error: fail, warn: ignore, info: ignore, debug: ignore, isLevelEnabled: () => false });
@@ -108,7 +116,16 @@
       isRecordedDone: (taskId: string) => done.has(taskId),
     } as unknown as Progress;
     const recovery = { checkCompletion: ignore, recordFenced: ignore, recordTaskStart: ignore } as unknown as Recovery;
-    const replica = { loaded: true, get: () => undefined, refresh: () => Promise.resolve() } as unknown as StateReplica;
+    const replica = {
+      loaded: true,
+      get: () => undefined,
+      stamp: () => term,
+      get completeRevision() {
+        return revision.newest;
+      },
+      refresh: () => Promise.resolve(),
+    } as unknown as StateReplica;
+    const committer = { commit: () => Promise.resolve("settled") } as unknown as GroupCommitter;
     const rentals = { get: () => ({ partition: 0 }) } as unknown as RentalIndex;
     const effects = new FindingEffects(context, progress, recovery);
     this.watch = new LeaseWatch(context, progress, effects, recovery);
@@ -120,6 +137,7 @@
       { record: ignore } as unknown as MachineStartup,
       effects,
       this.watch,
+      new TokenRaiser(context, replica, committer),
     );
     const leader = Object.assign(Object.create(context) as Leader, {
       onCommandReply: (partition: Partition, machine: Machine, report: Report) => this.reports.onCommandReply(partition, machine, report),
@@ -148,7 +166,7 @@
       history: new RunTimeHistory("owner"),
       types: [],
       typeOf: () => undefined,
-      stats: { starts: 0, takeovers: 0, preemptions: 0, fencedMs: 0, superseded: 0 },
+      stats: { starts: 0, takeovers: 0, preemptions: 0, fencedMs: 0, superseded: 0, tokensRaised: 0, startsRefused: 0, seenAgain: 0 },
       account: new ClassAccounting(),
       audit: new Audit(clock, this.scope.log, () => 0, TIMING.reportMs),
       startGuard: new StartGuard(this.scope),
@@ -266,6 +284,8 @@
           ANSWER_LIMIT_MS,
           unlessReplaced(() => reject(new CallError("unanswered", "timeout"))),
         );
+        const copyMs = random() * REPEATED_LATEST_MS;
+        if (random() < REPEATED) clock.after(copyMs, () => void hosts.get(addr)!.command(token, session, orders));
         if (random() < LOST) return;
         clock.after(delayMs(random, slow.has(addr)), () => {
           const reply = hosts.get(addr)!.command(token, session, orders);
@@ -281,9 +301,10 @@
     const host = `i-${i}`;
     hosts.set(host, new Worker(host, { type: "m", zone: "a", spot: false }, { cpus: 16, gpus: 0, ram: 64 }, world));
   }
-  const startOwner = (term: number): void => {
+  const revision: Revision = { newest: 0 };
+  const startOwner = (): void => {
     const next: Owner = new Owner(
-      term,
+      revision,
       clock,
       hosts.values(),
       done,
@@ -302,16 +323,17 @@
     for (const host of chosen) slow.add(host);
     clock.after(SLOW_FOR_MS, () => chosen.forEach((host) => slow.delete(host)));
   };
-  startOwner(1);
+  startOwner();
   for (let i = 1; i <= TAKEOVERS; i++) {
     const at = (RUN_SECONDS / (TAKEOVERS + 1)) * (i + random() * 0.3) * 1000;
     for (let n = 0; n < STOPS; n++) clock.after(at - GONE_BEFORE_MS - random() * STOPS_BEFORE_MS, () => owner?.preempt(random));
     clock.after(at - SLOW_BEFORE_MS, slowMachinesDown);
     clock.after(at - random() * GONE_BEFORE_MS, endOwner);
-    clock.after(at, () => startOwner(i + 1));
+    clock.after(at, startOwner);
   }
   for (let at = 0; at < RUN_SECONDS * 1000; at += 250) {
     clock.after(at, () => {
+      revision.newest++;
       owner?.advance();
     });
   }
