--- a/src/partitions/report-handler.ts
+++ b/src/partitions/report-handler.ts
@@ -70,6 +70,7 @@
     const free = newer && machine.fenced;
     if (free && hasHeldClear(machine, (task) => this.isClearable(task))) this.tokens.raise(partition, machine);
     else if (free) machine.clearHeldSince = null;
+    if (newer) machine.exitedSinceReport = false;
     const orders = machine.up ? this.orders(partition, machine) : [];
     if (free) for (const placement of machine.placements.values()) if (placement.state === null) placement.startSentSeq = report.seq;
     recordLeaseRenewal(machine, newer, this.context.now);
--- a/src/partitions/token-raiser.ts
+++ b/src/partitions/token-raiser.ts
@@ -11,9 +11,12 @@
 import type { LeaderContext } from "./leader-context.js";
 import { raiseToken, type Partition } from "./partition.js";
 
-/** Time, as a share of a worker's lease, for which a discard waits for a new revision before this owner writes one itself. */
-const MAX_WAIT_LEASES = 1 / 2;
-/** Share of the limit on exited attempts at which this owner writes a new revision without waiting. */
+/**
+ * Time, in leases of a worker, for which a discard waits for an answer that raises the token without causing a further report, and
+ * for another write to make a new revision.
+ */
+const MAX_HOLD_LEASES = 1;
+/** Share of the limit on exited attempts from which a discard does not wait. */
 const URGENT_SHARE = 1 / 2;
 
 /** Raises tokens of workers, and writes to the state service if no other write makes a new revision for a while. */
@@ -28,16 +31,21 @@
   ) {}
 
   /**
-   * Raises the machine's token if a newer revision is known. Called before the answer to its newest report is built, which then
-   * carries the new token, if attempts wait to be discarded. A command in flight would be refused under the higher token, so
-   * the token is raised in the answer to a later report then.
+   * Raises the machine's token if a newer revision is known and it is time to. Called before the answer to its newest report is
+   * built, which then carries the new token, if attempts wait to be discarded. A worker reports a higher token soon; if
+   * attempts have just exited it will report soon anyway, because others start in their place. A command in flight would be
+   * refused under the higher token, so the token is then raised in the answer to a later report.
    */
   raise(partition: Partition, machine: Machine): void {
     const { now, audit, stats } = this.context;
     machine.clearHeldSince ??= now;
-    if (machine.commandInFlight) return;
+    const overdue = this.isOverdue(machine);
+    if (machine.commandInFlight || !(overdue || machine.exitedSinceReport)) return;
     const revision = this.ownedRevision(partition);
-    if (revision === null || revision <= machine.grantedToken) return this.requestRevision(partition, machine);
+    if (revision === null || revision <= machine.grantedToken) {
+      if (overdue) this.requestRevision(partition, machine.grantedToken);
+      return;
+    }
     const from = machine.grantedToken;
     raiseToken(partition, machine, revision);
     stats.tokensRaised++;
@@ -50,15 +58,17 @@
     return this.replica.stamp(keys.owner(partition.id)) === partition.term ? this.replica.completeRevision : null;
   }
 
-  /** Writes a new revision if the machine's discards have waited long enough, or are many. One write serves all machines. */
-  private requestRevision(partition: Partition, machine: Machine): void {
-    const waitedMs = this.context.now - (machine.clearHeldSince ?? this.context.now);
-    const isUrgent = machine.exited.size >= MAX_EXITED_WITH_DIRECT_STARTS * URGENT_SHARE;
-    const { leaseMs } = this.context.settings.timing;
-    if (this.writing.has(partition.id) || (!isUrgent && waitedMs < leaseMs * MAX_WAIT_LEASES)) return;
+  /** Returns whether the machine's discards have waited long enough, or are too many to wait. */
+  private isOverdue({ clearHeldSince, exited }: Machine): boolean {
+    const heldMs = this.context.now - (clearHeldSince ?? this.context.now);
+    return heldMs >= this.context.settings.timing.leaseMs * MAX_HOLD_LEASES || exited.size >= MAX_EXITED_WITH_DIRECT_STARTS * URGENT_SHARE;
+  }
+
+  /** Writes a revision above `neededAbove` unless such a write is pending. One write serves all machines of the partition. */
+  private requestRevision(partition: Partition, neededAbove: number): void {
+    if (this.writing.has(partition.id)) return;
     this.writing.add(partition.id);
     const key = keys.token(partition.id);
-    const neededAbove = machine.grantedToken;
     const draft = () => {
       const revision = this.ownedRevision(partition);
       if (revision === null || revision > neededAbove) return null;
@@ -70,6 +80,7 @@
         apply: [{ write: key, v: { term: partition.term, above: neededAbove } satisfies TokenRecord }],
       };
     };
+    const { leaseMs } = this.context.settings.timing;
     void this.committer.commit("token", draft, { shedAfterMs: leaseMs }).then(() => this.writing.delete(partition.id));
   }
 }
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -62,6 +62,8 @@
   exited: Map<string, ReportedTask>;
   /** Start orders that were sent in direct commands, in this session. */
   directStarts: DirectStarts;
+  /** Whether an attempt was first reported as exited after the answer to the previous report, or in the present one. */
+  exitedSinceReport: boolean;
   /** Since when an exited attempt has been listed only because a copy of its start could still take effect; null if there is none. */
   clearHeldSince: number | null;
   commandInFlight: boolean;
@@ -132,6 +134,7 @@
     placements: new Map(),
     exited: new Map(),
     directStarts: new DirectStarts(),
+    exitedSinceReport: false,
     clearHeldSince: null,
     commandInFlight: false,
     failedCommands: 0,
--- a/src/workers/report-intake.ts
+++ b/src/workers/report-intake.ts
@@ -278,6 +278,7 @@
   const key = attemptKey(task.taskId, task.attempt);
   const registered = machine.placements.get(key);
   if (task.state === "exited") {
+    if (!machine.exited.has(key)) machine.exitedSinceReport = true;
     machine.exited.set(key, task);
     if (registered !== undefined) {
       recordExit(dropContext, registered, task, context);
