Ledger: building a transaction from pending writes is a module of its own

src/ledger/batch.ts holds the pure decisions (which drafts share a transaction, conflicts with those in flight, limits), group-committer.ts sends and repeats (332 lines before, 256 now).

--- a/src/intake/submissions.ts
+++ b/src/intake/submissions.ts
@@ -1,7 +1,8 @@
 import type { JobSpec } from "@thorntrail/protocol/jobs";
 import { createHash } from "node:crypto";
 import type { Configuration } from "../configuration/configuration.js";
-import type { GroupCommitter, CommitOutcome } from "../ledger/group-committer.js";
+import type { CommitOutcome } from "../ledger/batch.js";
+import type { GroupCommitter } from "../ledger/group-committer.js";
 import type { StateReplica } from "../ledger/state-replica.js";
 import {
   keys,
--- a/src/ledger/group-committer.ts
+++ b/src/ledger/group-committer.ts
@@ -3,50 +3,17 @@
 import type { Caller } from "../calls/calls.js";
 import { CallError } from "@thorntrail/protocol/errors";
 import type { TokenBucket } from "@thorntrail/protocol/token-bucket";
-import { RateLimitError, RequestTooLargeError, type Condition, type Op, type StateApi } from "@thorntrail/protocol/state";
+import { RateLimitError, RequestTooLargeError, type StateApi } from "@thorntrail/protocol/state";
+import { assembleBatch, type Batch, type CommitOutcome, type Draft, type PendingWrite } from "./batch.js";
 import { CpuAccounting } from "../platform/cpu-accounting.js";
 import type { Log } from "../platform/log.js";
 import type { StateReplica } from "./state-replica.js";
 
-/** Conditions and changes that a pending write adds to a transaction. */
-export interface Draft {
-  conditions: Condition[];
-  apply: Op[];
-}
-
-/**
- * Outcome of a pending write. `done`: applied. `settled`: nothing was left to write, or the write alone exceeds a
- * transaction's limits; the caller reads the replica for the current state. `shed`: never sent, or refused for its
- * size.
- */
-export type CommitOutcome = "done" | "settled" | "shed";
-
-/** Pending writes that share one transaction, with their merged conditions and changes. */
-interface Batch {
-  conditions: Condition[];
-  apply: Op[];
-  pendingWrites: PendingWrite[];
-}
-
 /** A batch that was sent and has no final result yet. */
 interface InFlightTransaction extends Batch {
   sentAt: number;
 }
 
-const keyOf = (op: Op): string => ("write" in op ? op.write : op.remove);
-
-/** A write that waits for its transaction. */
-interface PendingWrite {
-  label: string;
-  draft: () => Draft | null;
-  resolve: (outcome: CommitOutcome) => void;
-  /** Whether the write was sent without a definite answer, so that an earlier copy may still be applied late. */
-  outcomeUnknown: boolean;
-  shedAt: number;
-  rank: number;
-  exclusive: boolean;
-}
-
 /**
  * Order of writes while more of them wait than the write rate allows, as after an outage. `now`: users' requests and
  * claims of partitions, never delayed by others. `soon`: writes that other work waits for. `later`: bookkeeping.
@@ -60,8 +27,6 @@
 const USER_WRITE_RESERVE = 1 / 4;
 /** Maximum number of transactions in flight at the same time. */
 const MAX_CONCURRENT_TRANSACTIONS = 4;
-const MAX_BODY_BYTES = 60 * 1024;
-
 /**
  * Group commit: combines pending writes into few transactions within the rate limits. Each write is drafted against
  * the newest replica when its transaction is assembled, so its conditions match the state it was derived from. After
@@ -273,60 +238,19 @@
     }
   }
 
-  /** Builds the next batch from at most `maxOps` changes, in order of priority; null if no write can be sent now. */
+  /** Builds the next batch from at most `maxOps` changes, and settles the writes with nothing left to write; null if no write can be sent now. */
   private assembleBatch(maxOps: number): Batch | null {
-    const conditions = new Map<string, number>();
-    const written = new Set<string>();
-    // Changes in flight are not in the replica yet, so a write that depends on one of them would only conflict.
-    const inFlightWrites = new Set([...this.inFlight].flatMap(({ apply }) => apply.map(keyOf)));
-    const inFlightConditions = new Set([...this.inFlight].flatMap((transaction) => transaction.conditions.map(({ k }) => k)));
-    const apply: Op[] = [];
-    const pendingWrites: PendingWrite[] = [];
-    let bytes = 64;
-    const ordered = [...this.queue].sort((a, b) => a.rank - b.rank);
-    const resolved = new Set<PendingWrite>();
-    for (const pendingWrite of ordered) {
-      if (apply.length >= Math.max(1, maxOps)) break;
-      if (pendingWrite.exclusive && pendingWrites.length > 0) continue;
-      const draft = pendingWrite.draft();
-      if (draft === null) {
-        resolved.add(pendingWrite);
-        continue;
-      }
-      const size = JSON.stringify(draft).length;
-      const conflicts =
-        draft.apply.map(keyOf).some((k) => written.has(k) || conditions.has(k) || inFlightWrites.has(k) || inFlightConditions.has(k)) ||
-        draft.conditions.some(
-          ({ k, stamp }) => written.has(k) || inFlightWrites.has(k) || (conditions.has(k) && conditions.get(k) !== stamp),
-        );
-      const mergedConditions = new Set([...conditions.keys(), ...draft.conditions.map((c) => c.k)]).size;
-      const remainingOps = pendingWrites.length === 0 ? this.limits.txnOps : maxOps - this.reservedWrites(pendingWrite);
-      if (
-        conflicts ||
-        apply.length + draft.apply.length > remainingOps ||
-        mergedConditions > 4 * this.limits.txnOps ||
-        bytes + size > MAX_BODY_BYTES
-      ) {
-        if (pendingWrites.length === 0 && !conflicts) {
-          this.log.error({ intent: pendingWrite.label }, "a write exceeds a transaction's limits");
-          resolved.add(pendingWrite);
-        }
-        continue;
-      }
-      bytes += size;
-      pendingWrites.push(pendingWrite);
-      for (const c of draft.conditions) conditions.set(c.k, c.stamp);
-      for (const op of draft.apply) {
-        written.add(keyOf(op));
-        apply.push(op);
-      }
-      if (pendingWrite.exclusive) break;
-    }
+    const { batch, settled, oversized } = assembleBatch(this.queue, this.inFlight, {
+      maxOps,
+      txnOps: this.limits.txnOps,
+      reservedWrites: (pendingWrite) => this.reservedWrites(pendingWrite),
+    });
+    for (const { label } of oversized) this.log.error({ intent: label }, "a write exceeds a transaction's limits");
+    const resolved = new Set([...settled, ...oversized]);
     if (resolved.size > 0) {
       this.queue = this.queue.filter((pendingWrite) => !resolved.has(pendingWrite));
       for (const pendingWrite of resolved) pendingWrite.resolve("settled");
     }
-    if (pendingWrites.length === 0) return null;
-    return { conditions: [...conditions].map(([k, stamp]) => ({ k, stamp })), apply, pendingWrites };
+    return batch;
   }
 }
--- a/test/progress.test.ts
+++ b/test/progress.test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { VirtualClock } from "@thorntrail/emulator/virtual/clock";
-import type { GroupCommitter, Draft, CommitOutcome } from "../src/ledger/group-committer.js";
+import type { Draft, CommitOutcome } from "../src/ledger/batch.js";
+import type { GroupCommitter } from "../src/ledger/group-committer.js";
 import type { StateReplica } from "../src/ledger/state-replica.js";
 import { keys, type JobRecord } from "../src/ledger/records.js";
 import type { LeaderContext } from "../src/partitions/leader-context.js";
