--- a/src/partitions/finding-effects.ts
+++ b/src/partitions/finding-effects.ts
@@ -3,7 +3,7 @@
  * updates statistics, writes the audit log and issues follow-up orders.
  */
 import { taskId, type Placement, type TaskSet } from "../queue/task-set.js";
-import type { Findings } from "../workers/report-intake.js";
+import type { Findings } from "../workers/findings.js";
 import type { LeaderContext } from "../partitions/leader-context.js";
 import type { Partition } from "../partitions/partition.js";
 import type { Progress } from "../partitions/progress.js";
--- a/src/workers/report-intake.ts
+++ b/src/workers/report-intake.ts
@@ -3,48 +3,20 @@
  */
 import type { Report, ReportedTask } from "@thorntrail/protocol/worker";
 import { findTaskSet, isOwnAttempt, type Partition } from "../partitions/partition.js";
-import { taskNumber } from "../queue/attempts.js";
+import { addPlacement, markFinished, parseTaskId, removeWaiting, type Placement, type TaskSet } from "../queue/task-set.js";
 import {
-  isBrokenGang,
-  markFinished,
-  recordGoneAttempt,
-  addPlacement,
-  releasePlacement,
-  requeue,
-  parseTaskId,
-  removeWaiting,
-  type Placement,
-  type TaskSet,
-} from "../queue/task-set.js";
-import type { AttemptEnd, EndedAttempt } from "../job-classes/class-accounting.js";
-import { attributeFailure, type FailureTiming } from "./failure-attribution.js";
+  attemptOutcome,
+  dropAllAttempts,
+  dropAttempt,
+  recordExit,
+  stopOtherAttempts,
+  type DropContext,
+  type ProvenEnd,
+} from "./attempt-end.js";
+import type { FailureTiming } from "./failure-attribution.js";
 import { fence } from "./fence.js";
-import { proofFlaw, type TerminationProof } from "./termination-proof.js";
-import { addAttempt, attemptKey, removeAttempt, type FenceProof, type Machine } from "./machine.js";
-
-/** Effects of a report, or of the loss of a machine, for the caller to act on. */
-export interface Findings {
-  /** Something changed that may allow queued work to start. */
-  changed: boolean;
-  /** Task sets with completed tasks that are not yet recorded in the state service. */
-  finished: Set<TaskSet>;
-  /** Run times of tasks that were observed from start to completion, for the estimator. */
-  runs: { taskSet: TaskSet; seconds: number; host: string }[];
-  /** Attempts that were reported as running for the first time. */
-  started: Placement[];
-  /** Attempts that this owner has no record of ordering; `wanted` if they may continue. */
-  adopted: { placement: Placement; wanted: boolean }[];
-  /** Attempts of this term that are on a machine although they were proven to no longer exist. */
-  seenAgain: Placement[];
-  /** Attempts that provably no longer exist, and how they ended. */
-  ended: EndedAttempt[];
-  /** Attempts that were to be removed on the basis of an invalid proof, and therefore remain registered. */
-  unproven: { placement: Placement; proof: TerminationProof; flaw: string }[];
-  /** Machines that have become fenced, and the proof. */
-  fenced: { machine: Machine; proof: FenceProof }[];
-  /** Gangs that lost a task; their remaining tasks must be stopped before the gang can start again. */
-  brokenGangs: Set<TaskSet>;
-}
+import type { Findings } from "./findings.js";
+import { addAttempt, attemptKey, type Machine } from "./machine.js";
 
 /** Inputs for applying a report besides the report itself. */
 export interface ReportContext extends FailureTiming {
@@ -54,126 +26,6 @@
   placeholderFor: (ref: string) => TaskSet;
 }
 
-/** Creates empty findings, to which a report's effects are added. */
-export function newFindings(): Findings {
-  return {
-    changed: false,
-    finished: new Set(),
-    runs: [],
-    started: [],
-    adopted: [],
-    seenAgain: [],
-    ended: [],
-    unproven: [],
-    fenced: [],
-    brokenGangs: new Set(),
-  };
-}
-
-/** Arguments of `dropAttempt` that are the same for all attempts removed from a machine. */
-export interface DropContext {
-  partition: Partition;
-  machine: Machine;
-  now: number;
-  findings: Findings;
-}
-
-/** How an attempt ended, and the proof that it no longer exists. */
-interface ProvenEnd {
-  proof: TerminationProof;
-  end: AttemptEnd;
-  /** Whether the attempt saved its progress before it ended; absent means no. */
-  kept?: boolean;
-}
-
-/**
- * Removes an attempt that provably no longer exists on its machine; no other code removes attempts. If the proof is
- * invalid, the attempt remains registered and is reported in `findings.unproven`.
- */
-function dropAttempt({ partition, machine, now, findings }: DropContext, key: string, placement: Placement, ending: ProvenEnd): void {
-  const { taskSet, runningAt, timesReliable, attempt, host } = placement;
-  const { proof, end, kept = false } = ending;
-  const flaw = proofFlaw(proof, partition.newestToken);
-  if (flaw !== null) {
-    findings.unproven.push({ placement, proof, flaw });
-    return;
-  }
-  findings.ended.push({
-    placement,
-    end,
-    proof,
-    kept,
-    ranS: runningAt === null || !timesReliable ? 0 : Math.max(0, now - runningAt) / 1000,
-  });
-  removeAttempt(machine, key);
-  releasePlacement(taskSet, placement);
-  recordGoneAttempt(taskSet, placement.task, { attempt, host, by: proof.by });
-  // Another task set contains the task now if the attempt was registered before its job was queued here, or before
-  // the task became part of that task set.
-  const found = findTaskSet(partition, taskSet.spec.ref, taskNumber(placement));
-  if (found !== null && found.taskSet !== taskSet) {
-    requeue(found.taskSet, found.task);
-    recordGoneAttempt(found.taskSet, found.task, { attempt, host, by: proof.by });
-  }
-  findings.changed = true;
-  if (isBrokenGang(taskSet)) findings.brokenGangs.add(taskSet);
-  if (machine.placements.size === 0) machine.idleSince = now;
-}
-
-/** Removes all attempts of a machine, after its lease expired, it was deleted or its worker began a new session. */
-export function dropAllAttempts(dropContext: DropContext, proof: TerminationProof): void {
-  const { machine } = dropContext;
-  for (const [key, placement] of [...machine.placements]) dropAttempt(dropContext, key, placement, { proof, end: "machine" });
-  machine.exited.clear();
-}
-
-/** Stops all attempts at a completed task that may still be on machines. */
-function stopOtherAttempts(taskSet: TaskSet, task: number): void {
-  for (const other of taskSet.attempts.ofTask(taskSet.spec.ref, taskSet.lo + task)) other.stop ??= { graceS: 0 };
-}
-
-/** Updates the job and the machine of an attempt that has exited, according to the cause of the exit that the worker reported. */
-function recordExit(
-  { partition, machine, now, findings }: DropContext,
-  placement: Placement,
-  task: ReportedTask,
-  timing: FailureTiming,
-): void {
-  const { taskSet } = placement;
-  switch (task.cause) {
-    case "done":
-      if (placement.runningAt !== null && placement.timesReliable)
-        findings.runs.push({ taskSet, seconds: (now - placement.runningAt) / 1000, host: machine.host });
-      markFinished(taskSet, placement.task);
-      stopOtherAttempts(taskSet, placement.task);
-      machine.failuresByJob.clear();
-      findings.finished.add(taskSet);
-      break;
-    case "error":
-      attributeFailure(partition, machine, taskSet, timing);
-      break;
-    case "no_room":
-      machine.avoidUntil = Math.max(machine.avoidUntil, now + timing.coolMs);
-      break;
-    // `busy` means that the machine has another attempt at the task. The same report lists that attempt, so it is
-    // registered and prevents another start.
-    case "busy":
-    case "no_such":
-      taskSet.failures++;
-      taskSet.notBefore = now + Math.min(timing.leaseMs * 3, timing.coolMs * 2 ** Math.min(taskSet.failures, 6));
-      break;
-    default:
-      break;
-  }
-}
-
-function attemptOutcome({ cause }: ReportedTask, taskSet: TaskSet): AttemptEnd {
-  if (cause === "done" || cause === "error") return cause;
-  if (taskSet.ended) return "withdrawn";
-  if (cause === "stopped") return "stopped";
-  return cause === "mates_gone" || cause === "alone" ? "mates" : "refused";
-}
-
 /** Returns whether an attempt that this owner did not order may continue. */
 function isWanted(taskSet: TaskSet, task: number, attempt: number): boolean {
   if (taskSet.ended || taskSet.migrating || task >= taskSet.migratingFrom || taskSet.done.has(task) || taskSet.placements.has(task))
--- a/test/attempts.test.ts
+++ b/test/attempts.test.ts
@@ -9,7 +9,8 @@
 import { waitingTailLength, type TaskSet } from "../src/queue/task-set.js";
 import { addAttempt, type Machine } from "../src/workers/machine.js";
 import { ordersFor } from "../src/workers/orders.js";
-import { newFindings, applyReport, type ReportContext } from "../src/workers/report-intake.js";
+import { newFindings } from "../src/workers/findings.js";
+import { applyReport, type ReportContext } from "../src/workers/report-intake.js";
 import { VirtualClock } from "@thorntrail/emulator/virtual/clock";
 import { NOW, partitionOf, schedulingContext, enqueue, specOf } from "./world/partitions.js";
 
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -4,7 +4,8 @@
 import { isReady, runSchedulingCycle } from "../src/queue/scheduling-cycle.js";
 import { failsRepeatedly, type TaskSet } from "../src/queue/task-set.js";
 import type { ReportedTask } from "@thorntrail/protocol/worker";
-import { newFindings, applyReport, type ReportContext } from "../src/workers/report-intake.js";
+import { newFindings } from "../src/workers/findings.js";
+import { applyReport, type ReportContext } from "../src/workers/report-intake.js";
 import type { Partition } from "../src/partitions/partition.js";
 import { NOW, partitionOf, schedulingContext, enqueue, specOf } from "./world/partitions.js";
 
--- a/test/restarts.test.ts
+++ b/test/restarts.test.ts
@@ -17,7 +17,8 @@
 import { spawnController } from "../src/rehearsal/spawn-controller.js";
 import { runSchedulingCycle } from "../src/queue/scheduling-cycle.js";
 import type { Settings } from "../src/settings/derived.js";
-import { newFindings, applyReport } from "../src/workers/report-intake.js";
+import { newFindings } from "../src/workers/findings.js";
+import { applyReport } from "../src/workers/report-intake.js";
 import { NOW, partitionOf, schedulingContext, enqueue, specOf } from "./world/partitions.js";
 
 const base = await loadPlan("deploy/rehearsal.hcl");
--- a/test/scheduling-complexity.test.ts
+++ b/test/scheduling-complexity.test.ts
@@ -9,7 +9,8 @@
 import { UnschedulableShapes } from "../src/queue/unschedulable.js";
 import { RunTimeHistory } from "../src/queue/history.js";
 import { runSchedulingCycle } from "../src/queue/scheduling-cycle.js";
-import { newFindings, applyReport } from "../src/workers/report-intake.js";
+import { newFindings } from "../src/workers/findings.js";
+import { applyReport } from "../src/workers/report-intake.js";
 import { NOW, order, partitionOf, schedulingContext, enqueue, specOf, unlimited } from "./world/partitions.js";
 
 // Hundreds of machines report every few seconds to controllers with a fifth of a core. These tests detect work that grows with
--- a/test/termination-proof.test.ts
+++ b/test/termination-proof.test.ts
@@ -16,7 +16,9 @@
 import { proofFlaw, type TerminationProof } from "../src/workers/termination-proof.js";
 import { isLeaseExpired } from "../src/workers/lease.js";
 import type { Machine } from "../src/workers/machine.js";
-import { dropAllAttempts, newFindings, applyReport, type Findings } from "../src/workers/report-intake.js";
+import { dropAllAttempts } from "../src/workers/attempt-end.js";
+import { newFindings, type Findings } from "../src/workers/findings.js";
+import { applyReport } from "../src/workers/report-intake.js";
 import { NOW, partitionOf, schedulingContext, enqueue, specOf } from "./world/partitions.js";
 
 const EXPIRY_MS = 18_000;
