--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -87,13 +87,9 @@
   life: string;
 }
 
-/**
- * Written by a partition's owner only to make a new revision, which it needs as a token for its workers: above the revision
- * `above`. Nobody reads the value.
- */
+/** Written by a partition's owner only to make a new revision, which it needs as a token for its workers. Nobody reads the value. */
 export interface TokenRecord {
   term: number;
-  above: number;
 }
 
 /** Shows that a controller is alive; removed by the state service when the controller's lease expires. */
@@ -170,7 +166,6 @@
   needLists: "t/n/",
   rentals: "t/m/",
   owners: "t/o/",
-  tokens: "t/f/",
   presence: "t/l/",
   suspicions: "t/x/",
   quotaShares: "t/q/",
--- a/src/partitions/report-handler.ts
+++ b/src/partitions/report-handler.ts
@@ -69,7 +69,7 @@
     const newer = this.applyReport(partition, machine, report, true);
     if (!machine.up) this.machineStartup.record(partition, machine);
     const free = newer && machine.fenced;
-    if (free && hasHeldClear(machine, (task) => this.isClearable(task))) this.tokens.raise(partition, machine);
+    if (free && hasHeldClear(machine, this.isClearable)) this.tokens.raise(partition, machine);
     else if (free) machine.clearHeldSince = null;
     if (newer) machine.exitedSinceReport = false;
     const orders = machine.up ? this.orders(partition, machine) : [];
@@ -86,7 +86,7 @@
     return ordersFor(machine, "report", {
       now: this.context.now,
       leaseMs: this.context.settings.timing.leaseMs,
-      isClearable: (task) => this.isClearable(task),
+      isClearable: this.isClearable,
       onStartRefused: (placement, others) => this.context.startGuard.reportRefusal(partition, placement, others),
       max: MAX_ORDERS,
     });
@@ -96,9 +96,7 @@
    * Returns whether the worker may be ordered to discard the exited attempt; a finished one only after its result is
    * durable.
    */
-  private isClearable(task: ReportedTask): boolean {
-    return task.cause !== "done" || this.progress.isRecordedDone(task.taskId);
-  }
+  private readonly isClearable = (task: ReportedTask): boolean => task.cause !== "done" || this.progress.isRecordedDone(task.taskId);
 
   /** Handles the report in a worker's reply to a direct command. */
   onCommandReply(partition: Partition, machine: Machine, report: Report): void {
--- a/src/partitions/token-raiser.ts
+++ b/src/partitions/token-raiser.ts
@@ -38,8 +38,8 @@
    */
   raise(partition: Partition, machine: Machine): void {
     const { now, audit, stats } = this.context;
-    machine.clearHeldSince ??= now;
-    const overdue = this.isOverdue(machine);
+    const heldMs = now - (machine.clearHeldSince ??= now);
+    const overdue = this.isOverdue(machine, heldMs);
     if (machine.commandInFlight || !(overdue || machine.exitedSinceReport)) return;
     const revision = this.ownedRevision(partition);
     if (revision === null || revision <= machine.grantedToken) {
@@ -49,7 +49,7 @@
     const from = machine.grantedToken;
     raiseToken(partition, machine, revision);
     stats.tokensRaised++;
-    audit.logTokenRaised(partition, machine, from, now - machine.clearHeldSince);
+    audit.logTokenRaised(partition, machine, from, heldMs);
     machine.clearHeldSince = null;
   }
 
@@ -59,8 +59,7 @@
   }
 
   /** Returns whether the machine's discards have waited long enough, or are too many to wait. */
-  private isOverdue({ clearHeldSince, exited }: Machine): boolean {
-    const heldMs = this.context.now - (clearHeldSince ?? this.context.now);
+  private isOverdue({ exited }: Machine, heldMs: number): boolean {
     return heldMs >= this.context.settings.timing.leaseMs * MAX_HOLD_LEASES || exited.size >= MAX_EXITED_WITH_DIRECT_STARTS * URGENT_SHARE;
   }
 
@@ -77,7 +76,7 @@
           { k: keys.owner(partition.id), stamp: partition.term },
           { k: key, stamp: this.replica.stamp(key) },
         ],
-        apply: [{ write: key, v: { term: partition.term, above: neededAbove } satisfies TokenRecord }],
+        apply: [{ write: key, v: { term: partition.term } satisfies TokenRecord }],
       };
     };
     const { leaseMs } = this.context.settings.timing;
--- a/src/workers/command-dispatcher.ts
+++ b/src/workers/command-dispatcher.ts
@@ -68,7 +68,7 @@
     const resolveStarts = (resolution: "none" | "unresolved" | "answered"): void => {
       if (machine.session !== session) return; // a new session has begun, so the command can no longer take effect
       for (const key of startKeys) {
-        if (resolution === "none") machine.directStarts.recordRefused(key);
+        if (resolution === "none") machine.directStarts.forget(key);
         const placement = machine.placements.get(key);
         if (placement !== undefined && placement.directStart === "flying") placement.directStart = resolution;
       }
@@ -78,12 +78,12 @@
       const reply = await workersWithPolicy(this.workers, caller).command(machine.addr, token, session, orders);
       resolveStarts(reply.executed ? "answered" : "none");
       retryNow = fencing && !reply.executed && reply.report.session !== session;
-      // The worker refused because it has a higher token or another session. An immediate
-      // retry would be refused again; the next report carries the current state.
       if (!reply.executed && startKeys.length > 0) {
         this.leader.stats.startsRefused += startKeys.length;
         this.leader.audit.logStartsRefused(partition, machine, { token, session }, reply.report, startKeys.length);
       }
+      // The worker refused because it has a higher token or another session. An immediate
+      // retry would be refused again; the next report carries the current state.
       if (!reply.executed && !retryNow) recordFailure(`refused: token ${reply.report.token}, session ${reply.report.session}`);
       else Object.assign(machine, { failedCommands: 0, lastCommandError: null });
       if (fencing && reply.executed && machine.answeredAt > now) machine.answeredAt = this.scope.clock.now();
--- a/src/workers/direct-starts.ts
+++ b/src/workers/direct-starts.ts
@@ -28,12 +28,10 @@
     this.startsByAttempt.set(attemptKey, { session, token });
   }
 
-  /** Records that the command with the attempt's start was refused, which holds for every copy of it, or was never sent. */
-  recordRefused(attemptKey: string): void {
-    this.startsByAttempt.delete(attemptKey);
-  }
-
-  /** Forgets an attempt that the worker has discarded, or that it has never executed and never will. */
+  /**
+   * Forgets the start of an attempt that can never take effect: the command was never sent or was refused, which holds for every
+   * copy of it, or the worker no longer lists the attempt after it was spent.
+   */
   forget(attemptKey: string): void {
     this.startsByAttempt.delete(attemptKey);
   }
--- a/src/workers/orders.ts
+++ b/src/workers/orders.ts
@@ -23,23 +23,19 @@
 /** Share of a report for exited attempts that cannot be discarded yet; the rest is for the attempts that use the machine. */
 const EXITED_SHARE = 1 / 4;
 /**
- * Number of exited attempts on a machine from which its starts are sent in answers to reports only: those attempts can be
- * discarded whatever token the worker has seen, so that the list does not outgrow a report.
+ * Number of exited attempts on a machine from which its starts are sent in answers to reports only. An attempt started that way
+ * can be discarded whatever token the worker has seen, so the list does not outgrow a report.
  */
 export const MAX_EXITED_WITH_DIRECT_STARTS = Math.floor((MAX_REPORT_BYTES * EXITED_SHARE) / MAX_ENTRY_BYTES);
 
-/** Returns the exited attempts of the machine that are no longer needed on the worker. */
-function clearableAttempts(machine: Machine, isClearable: WorkerOrderContext["isClearable"]): [key: string, task: ReportedTask][] {
-  return [...machine.exited].filter(([, task]) => isClearable(task));
-}
-
 /**
  * Returns whether the worker may not yet discard an exited attempt that is no longer needed, because a copy of its direct start
  * could still take effect under the token granted to the worker.
  */
 export function hasHeldClear(machine: Machine, isClearable: WorkerOrderContext["isClearable"]): boolean {
-  const { directStarts, session, grantedToken } = machine;
-  return clearableAttempts(machine, isClearable).some(([key]) => directStarts.spentBy(key, session, grantedToken) === null);
+  const { directStarts, exited, session, grantedToken } = machine;
+  for (const [key, task] of exited) if (directStarts.spentBy(key, session, grantedToken) === null && isClearable(task)) return true;
+  return false;
 }
 
 /**
@@ -95,10 +91,10 @@
   // `clear` orders, which discard an exited attempt, are sent only in answers to reports, since these cannot overtake
   // each other: after a `clear`, a repeated `start` of the attempt that arrives later would run it again.
   if (channel === "report") {
-    const { directStarts, session, grantedToken } = machine;
-    for (const [key, task] of clearableAttempts(machine, isClearable)) {
+    const { directStarts, exited, session, grantedToken } = machine;
+    for (const [key, task] of exited) {
       if (orders.length >= max) break;
-      if (directStarts.spentBy(key, session, grantedToken) !== null)
+      if (directStarts.spentBy(key, session, grantedToken) !== null && isClearable(task))
         orders.push({ verb: "clear", taskId: task.taskId, attempt: task.attempt });
     }
   }
--- a/src/workers/report-intake.ts
+++ b/src/workers/report-intake.ts
@@ -87,8 +87,10 @@
  */
 function beginSession(dropContext: DropContext, { session, token }: Report): void {
   const { machine, now, findings } = dropContext;
-  if (machine.session > 0) dropAllAttempts(dropContext, { by: "new session", token });
-  if (machine.session > 0) machine.directStarts.clear();
+  if (machine.session > 0) {
+    dropAllAttempts(dropContext, { by: "new session", token });
+    machine.directStarts.clear();
+  }
   machine.session = session;
   // A session begins with a full lease without any answer. It began no later than now, and attempts started in it by
   // direct commands live until that lease expires. If the lease were counted from the last answer alone, a machine
@@ -108,6 +110,7 @@
 ): void {
   machine.seq = report.seq;
   machine.token = report.token;
+  // A machine that was removed and added again in this term may have been granted more than is known here.
   machine.grantedToken = Math.max(machine.grantedToken, report.token);
   machine.addr = report.addr;
   if (machine.lastReceivedAt === -Infinity || machine.lost) findings.changed = true;
--- a/test/direct-starts.test.ts
+++ b/test/direct-starts.test.ts
@@ -74,7 +74,7 @@
   assert.equal(starts.spentBy("a", 1, 5), null);
   assert.equal(starts.spentBy("a", 2, 5), "session over");
   assert.equal(starts.spentBy("b", 2, 6), "token raised");
-  starts.recordRefused("b");
+  starts.forget("b");
   assert.equal(starts.spentBy("b", 2, 5), "answers only");
 });
 
