Emulator: the copied channels and the unanswered command are written once

random-plans listed the channels that faults.ts defines; the worker host had the late command and the copy of one as two expressions.

--- a/measure/discards.ts
+++ b/measure/discards.ts
@@ -115,6 +115,6 @@
     [`${workload}_start_p99_ms`]: startMs.percentileMs(99),
     [`${workload}_starts`]: startMs.count,
   });
-  progress(`${workload}: ${JSON.stringify(counters.reports)} reports, ${startMs.count} starts`);
+  progress(`${workload}: ${counters.reports} reports, ${startMs.count} starts`);
 }
 report("discards", options, { machines: MACHINES, ...figures });
--- a/packages/emulator/src/faults.ts
+++ b/packages/emulator/src/faults.ts
@@ -25,6 +25,8 @@
   requests: { from: "users", to: "controllers", what: "request" },
 } as const;
 type CopiedChannel = keyof typeof COPIED_CALLS;
+/** The channels whose messages a fault of the kind `copies` can copy. */
+export const COPIED_CHANNELS = Object.keys(COPIED_CALLS) as [CopiedChannel, ...CopiedChannel[]];
 
 /** Schema of a fault as it is written in plans and commands. Durations (`for`, `notice`, `hang`) are in seconds, `ms` in milliseconds. */
 export const faultSchema = z.discriminatedUnion("kind", [
@@ -150,7 +152,7 @@
   z
     .strictObject({
       kind: z.literal("copies"),
-      of: z.enum(Object.keys(COPIED_CALLS) as [CopiedChannel, ...CopiedChannel[]]),
+      of: z.enum(COPIED_CHANNELS),
       share: share.default(0.3),
       least_ms: z.number().min(0).max(120_000).default(300),
       ms: z.number().min(1).max(120_000).default(17_000),
--- a/packages/emulator/src/random-plans.ts
+++ b/packages/emulator/src/random-plans.ts
@@ -3,7 +3,7 @@
  * first. Three of ten seeds generate a scenario in which two controllers both act as owner of a partition. A generated
  * plan contains all faults of its run, so it can be replayed without the generator.
  */
-import { decodeFault } from "./faults.js";
+import { COPIED_CHANNELS, decodeFault } from "./faults.js";
 import { seededRandom } from "./random.js";
 import { INJECTION_POINTS, type TimedFault, type RehearsalPlan } from "./plan.js";
 
@@ -189,7 +189,6 @@
 const COPIES_SHARE = 0.5;
 /** Factor that derives the seed of these faults' own random sequence, as `REFUSED_SPLIT_SEED_FACTOR` does for its scenario. */
 const COPIES_SEED_FACTOR = 0x85ebca6b;
-const COPIED_CHANNELS = ["commands", "transactions", "rentals", "deletions", "peer-messages", "requests"] as const;
 
 /**
  * Generates copies of commands for most of a run, and of one other channel, beside a machine on which all tasks fail: only tasks
@@ -209,7 +208,7 @@
   });
   return [
     { at, fault: parseFault(copies("commands")) },
-    { at, fault: parseFault(copies(random.pick(COPIED_CHANNELS.slice(1)))) },
+    { at, fault: parseFault(copies(random.pick(COPIED_CHANNELS.filter((of) => of !== "commands")))) },
     { at: random.decimal(at, seconds), fault: parseFault({ kind: "sick", target: "busiest" }) },
   ];
 }
--- a/packages/emulator/src/real/worker-host.ts
+++ b/packages/emulator/src/real/worker-host.ts
@@ -177,16 +177,17 @@
       const { executed, report } = worker.command(token, session, orders);
       return { status: executed ? 200 : 409, text: JSON.stringify(encodeReport(report)), retryAfter: undefined };
     };
-    const runCopy = (): boolean => !worker.removed && !worker.hanging && worker.command(token, session, orders).executed;
+    // Executes a command late, or a copy of one; nobody waits for the answer.
+    const runUnanswered = (): boolean => !worker.removed && !worker.hanging && worker.command(token, session, orders).executed;
     if (this.links.holdIfCut(call, () => void (worker.removed || run())) || this.links.isLost(call)) return;
     const delayMs = this.links.delayMs(call);
     if (delayMs > 0) await new Promise<void>((resolve) => this.world.clock.after(delayMs, resolve));
     if (worker.removed || worker.hanging) return;
     const effect = this.links.takeEffect(call);
     // The command is executed late and not answered.
-    if (effect?.kind === "late") return void this.world.clock.after(effect.ms, () => void (worker.removed || worker.hanging || run()));
+    if (effect?.kind === "late") return void this.world.clock.after(effect.ms, () => void runUnanswered());
     const answer = run();
-    this.copies?.carriedOut(call, runCopy);
+    this.copies?.carriedOut(call, runUnanswered);
     // The command is executed, but its answer may be lost.
     const response = { from: host, to: call.from, what: "answer" };
     if (!this.links.isCut(response) && !this.links.isLost(response)) sendResponse(res, answer);
