--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -5,7 +5,7 @@
 import { spawn } from "node:child_process";
 import { appendFileSync, createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import http from "node:http";
-import { createServer } from "node:net";
+import { connect, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -253,3 +253,38 @@
   await cluster.close();
   process.exit(code);
 }
+
+/** A proxy on loopback in front of `target` whose answers take `delayMs()` longer. Resolves to its address and a function that ends it. */
+export function slowProxy(target, delayMs) {
+  const [host, port] = target.split(":");
+  const sockets = new Set();
+  const server = createServer((client) => {
+    const upstream = connect({ host, port: Number(port), noDelay: true });
+    client.setNoDelay(true);
+    for (const socket of [client, upstream]) {
+      sockets.add(socket);
+      socket.on("error", () => undefined);
+      socket.on("close", () => {
+        sockets.delete(socket);
+        client.destroy();
+        upstream.destroy();
+      });
+    }
+    client.on("data", (chunk) => upstream.write(chunk));
+    let sendAt = 0;
+    upstream.on("data", (chunk) => {
+      // Chunks keep their order also while the delay changes.
+      sendAt = Math.max(sendAt, Date.now() + delayMs());
+      setTimeout(() => client.destroyed || client.write(chunk), sendAt - Date.now());
+    });
+  });
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () => {
+      const close = () => {
+        server.close();
+        for (const socket of sockets) socket.destroy();
+      };
+      resolve({ addr: `127.0.0.1:${server.address().port}`, close });
+    });
+  });
+}
