--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -62,6 +62,7 @@
   checkLease() {
     if (this.gone || this.hanging || Date.now() - this.leaseFrom <= this.platform.site.workers.lease_s * 1000) return;
     this.platform.note(`worker ${this.host}: lease over, session ${this.session} ends with ${this.tasks.size} tasks`);
+    this.platform.leasesOver++;
     for (const task of this.tasks.values()) this.end(task, "killed");
     this.tasks.clear();
     this.session++;
@@ -75,7 +76,7 @@
       const sentAt = Date.now();
       const session = this.session;
       const name = this.platform.names[this.target];
-      const answer = this.hanging ? null : await request(this.platform.frontOf(name), "POST", "/v1/report", this.snapshot(), 4000);
+      const answer = this.hanging ? null : await this.report(name);
       let pauseMs = 1000;
       if (answer?.status === 200) {
         pauseMs = report_s * 1000 * (0.75 + Math.random() / 2);
@@ -100,6 +101,14 @@
     }
   }
 
+  async report(name) {
+    const body = JSON.stringify(this.snapshot());
+    const answer = await request(this.platform.frontOf(name), "POST", "/v1/report", body, 4000);
+    if (answer?.status === 400)
+      this.platform.note(`worker ${this.host}: report of ${body.length} bytes refused by ${name}: ${answer.body.error}`);
+    return answer;
+  }
+
   execute(orders) {
     for (const order of orders) {
       const id = key(order.piece, order.try);
@@ -191,6 +200,7 @@
     this.bootFactor = 0.6;
     this.runMs = (task) => (task.job.guessS || 5) * 1000;
     this.seen = 0;
+    this.leasesOver = 0;
   }
 
   frontOf(name) {
