--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -48,18 +48,26 @@
   });
 }
 
-/** Returns a free loopback port. */
-function freePort() {
-  return new Promise((resolve, reject) => {
+/** Ports below those that systems usually give to outgoing connections, one of which could take a chosen port before it is used. */
+const PORTS = { first: 20_000, count: 12_000 };
+
+/** Whether the loopback port can be listened on. */
+function isFree(port) {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
-    });
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
   });
 }
 
+/** Returns a free loopback port, chosen at random so that cases that run at the same time rarely choose the same. */
+async function freePort() {
+  for (;;) {
+    const port = PORTS.first + Math.floor(Math.random() * PORTS.count);
+    if (await isFree(port)) return port;
+  }
+}
+
 /** The command of the deploy file that starts a controller, without the settings file. */
 function runCommand() {
   const text = readFileSync(join(ROOT, "deploy", "service.toml"), "utf8");
@@ -239,9 +247,9 @@
   const trouble = process.env.TROUBLE !== "0";
   let code = 2;
   const stop = setTimeout(() => {
-    cluster.note("could not run: 115 s are over");
+    cluster.note("could not run: 117 s are over");
     void cluster.close().then(() => process.exit(2));
-  }, 115_000);
+  }, 117_000);
   try {
     const broken = await play(cluster, trouble);
     cluster.note(broken === null ? "the rule held" : `the rule was broken: ${broken}`);
--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -207,6 +207,8 @@
     this.bootFactor = 0.6;
     this.runMs = (task) => (task.job.guessS || 5) * 1000;
     this.seen = 0;
+    /** Types of which the cloud has no machine to rent at present. */
+    this.soldOut = new Set();
     this.leasesOver = 0;
     this.isFaulty = () => false;
   }
@@ -276,11 +278,21 @@
     });
   }
 
+  /** Takes a machine back; from then on no machine of its type can be rented. */
+  takeBack(ref) {
+    const { worker, build, loaner } = this.machines.get(ref);
+    this.soldOut.add(build);
+    this.note(`cloud: ${ref} (${build}, ${loaner ? "spot" : "ordinary"}) is taken back`);
+    this.machines.delete(ref);
+    worker.remove();
+  }
+
   hire(res, { hire, build, yard, loaner, count }) {
     const known = this.hires.get(hire);
     if (known !== undefined) return json(res, 200, { hosts: known });
     const type = this.site.builds.find(({ label }) => label === build);
     const used = [...this.machines.values()].filter((one) => one.build === build && one.loaner === loaner).length;
+    if (this.soldOut.has(build)) return json(res, 503, { error: "no capacity" });
     const free = Math.min(count, (loaner ? type.spotCount : type.count) - used);
     if (free <= 0) return json(res, 503, { error: "no capacity" });
     const hosts = Array.from({ length: free }, () => `i-${String(++this.seen).padStart(6, "0")}`);
