--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -247,9 +247,9 @@
   const trouble = process.env.TROUBLE !== "0";
   let code = 2;
   const stop = setTimeout(() => {
-    cluster.note("could not run: 117 s are over");
+    cluster.note("could not run: 118 s are over");
     void cluster.close().then(() => process.exit(2));
-  }, 117_000);
+  }, 118_000);
   try {
     const broken = await play(cluster, trouble);
     cluster.note(broken === null ? "the rule held" : `the rule was broken: ${broken}`);
