Progress: what happens while a write of finished tasks is in flight is recorded after it

Callers saw an array, all of whose tasks were done, answered as running for ever; jobs that wait for it never started.

Cause: Progress.record ignored every call during a write of the same task set and repeated the write only if more tasks of that task set had finished since. The record of a slice that becomes done is such a call too, and it brings no further finished task. The write that was in flight had been drafted before, so it lacked the end of the job, and nothing looked again. It needs no slow state service: an owner of both partitions that records both in one transaction does the same.

Change: a call during a write is remembered and takes effect when the write has ended, for the records of jobs and of slices alike. The draft is a function of its own.

Looked at for the same cause, no change needed, since what is ignored there is repeated: machines that come up (each report), raised tokens (each report), quota transfers and adjustments (each cycle, each review), returned machines (looked through again after the write), migrations (the outcome is decided from the records).

--- a/src/partitions/progress.ts
+++ b/src/partitions/progress.ts
@@ -1,4 +1,5 @@
 /** Records finished tasks durably in the state service. */
+import type { Draft } from "../ledger/batch.js";
 import type { GroupCommitter } from "../ledger/group-committer.js";
 import type { StateReplica } from "../ledger/state-replica.js";
 import {
@@ -28,9 +29,16 @@
    * Records the finished tasks of a task set. A complete task set is recorded at once. Partial progress is needed only
    * if this node is lost, and workers keep results until they are ordered to discard them, so it is recorded once per
    * lease: a write for every few tasks would crowd out submissions.
+   *
+   * A call during a write takes effect after it. The write may have been sent already, so it may lack what the call is
+   * about: further finished tasks, or the last slice that was recorded as done, with which the job ends. Nobody repeats
+   * the call: a job whose last event was ignored would never end.
    */
   record(partition: Partition, taskSet: TaskSet): void {
-    if (taskSet.endWritePending) return;
+    if (taskSet.endWritePending) {
+      taskSet.recordRequested = true;
+      return;
+    }
     if (taskSet.done.full) return this.recordNow(partition, taskSet);
     this.recordLater(partition, taskSet);
   }
@@ -50,49 +58,55 @@
     });
   }
 
-  /** Merges the finished tasks into the record of the job or slice, and records the job as done if all its tasks are. */
+  /** Writes the finished tasks of a task set to the state service now. */
   private recordNow(partition: Partition, taskSet: TaskSet): void {
     taskSet.endWritePending = true;
-    const { ref } = taskSet.spec;
-    const isJob = taskSet.lo === 0;
-    let writtenCount = 0;
-    const draft = () => {
-      const entry = this.replica.get<JobRecord | SliceRecord>(taskSet.key);
-      const job = this.replica.get<JobRecord>(keys.job(ref));
-      if (entry === undefined || job === undefined || job.v.end !== undefined || partitionOf(entry.v) !== partition.id) return null;
-      if (this.replica.stamp(keys.owner(partition.id)) !== partition.term) return null;
-      const bits = doneTasks(entry.v, taskSet.hi - taskSet.lo);
-      const recordedCount = bits.count;
-      bits.merge(taskSet.done);
-      const complete = isJob && bits.full && this.allSlicesDone(ref);
-      if (bits.count === recordedCount && !complete) return null;
-      writtenCount = taskSet.done.count;
-      const { packed: _packed, ...plain } = withPartitionAssigned(entry.v);
-      const value = { ...plain, done: bits.encode() };
-      if (complete) Object.assign(value, { end: "done", endedAt: this.context.scope.clock.wall() } satisfies Partial<JobRecord>);
-      const v = fitToLimit(value, taskSet.hi - taskSet.lo, this.context.settings.state.valueKb);
-      if (v === null) return null;
-      return {
-        conditions: [
-          { k: taskSet.key, stamp: entry.stamp },
-          { k: keys.owner(partition.id), stamp: partition.term },
-        ],
-        apply: [{ write: taskSet.key, v }],
-      };
-    };
+    taskSet.recordRequested = false;
+    const draft = (): Draft | null => this.draftRecord(partition, taskSet);
     void this.committer.commit("done", draft, { priority: taskSet.done.full ? "soon" : "later" }).then((outcome) => {
       taskSet.endWritePending = false;
-      if (outcome === "done") {
+      if (outcome === "done")
         this.context.scope.log.debug(
-          { part: partition.id, job: ref, done: taskSet.done.count, of: taskSet.hi - taskSet.lo },
+          { part: partition.id, job: taskSet.spec.ref, done: taskSet.done.count, of: taskSet.hi - taskSet.lo },
           "progress recorded",
         );
-        if (taskSet.done.count > writtenCount) this.record(partition, taskSet);
-      } else if (outcome === "shed" && !taskSet.ended && this.context.partitions.get(partition.id) === partition)
-        this.recordLater(partition, taskSet);
+      if (taskSet.ended || this.context.partitions.get(partition.id) !== partition) return;
+      if (outcome === "shed") this.recordLater(partition, taskSet);
+      else if (taskSet.recordRequested) this.record(partition, taskSet);
     });
   }
 
+  /**
+   * Drafts the write that merges the finished tasks into the record of the job or slice, and records the job as done if
+   * all its tasks are. Null if nothing is left to write or the partition has another owner.
+   */
+  private draftRecord(partition: Partition, taskSet: TaskSet): Draft | null {
+    const { ref } = taskSet.spec;
+    const size = taskSet.hi - taskSet.lo;
+    const entry = this.replica.get<JobRecord | SliceRecord>(taskSet.key);
+    const job = this.replica.get<JobRecord>(keys.job(ref));
+    if (entry === undefined || job === undefined || job.v.end !== undefined || partitionOf(entry.v) !== partition.id) return null;
+    if (this.replica.stamp(keys.owner(partition.id)) !== partition.term) return null;
+    const bits = doneTasks(entry.v, size);
+    const recordedCount = bits.count;
+    bits.merge(taskSet.done);
+    const isFirst = taskSet.lo === 0;
+    const complete = isFirst && bits.full && this.allSlicesDone(ref);
+    if (bits.count === recordedCount && !complete) return null;
+    const { packed: _packed, ...plain } = withPartitionAssigned(entry.v);
+    const value = { ...plain, done: bits.encode() };
+    if (complete) Object.assign(value, { end: "done", endedAt: this.context.scope.clock.wall() } satisfies Partial<JobRecord>);
+    const v = fitToLimit(value, size, this.context.settings.state.valueKb);
+    if (v === null) return null;
+    return {
+      conditions: [
+        { k: taskSet.key, stamp: entry.stamp },
+        { k: keys.owner(partition.id), stamp: partition.term },
+      ],
+      apply: [{ write: taskSet.key, v }],
+    };
+  }
+
   /** Returns whether all slices (ranges of a job's tasks) after the first are recorded as done. */
   private allSlicesDone(ref: string): boolean {
     const spec = this.replica.get<JobRecord>(keys.job(ref))!.v;
--- a/src/queue/task-set.ts
+++ b/src/queue/task-set.ts
@@ -67,6 +67,8 @@
   failedOn: Map<string, number>;
   ended: boolean;
   endWritePending: boolean;
+  /** The finished tasks are to be recorded once more when the pending write has ended, since it may lack the newest. */
+  recordRequested: boolean;
   /** A write of the task set's finished tasks to the state service is scheduled. */
   progressWriteScheduled: boolean;
   /** Equal for task sets whose tasks have the same resource requirements and placement constraints. */
@@ -115,6 +117,7 @@
     failedOn: new Map(),
     ended: false,
     endWritePending: false,
+    recordRequested: false,
     progressWriteScheduled: false,
     shape: schedulingShape(spec),
   };
