Fleet: gangs that wait for each other's machines follow one order, and the later gives way

Callers saw two accepted gangs queued for ever beside idle machines that hold either of them.

Cause: each partition keeps every machine on which a part of a waiting gang would be placed, without a limit, and rents for a part of a gang. Two partitions that each keep a part of the machines of a type wait for each other, and nothing orders them.

Change: a partition whose gang has lacked machines for a lease because the cloud refuses them records this in the state service (t/g/PARTITION, for each refused offering the first such gang). Gangs are ordered by urgency, time of submission and reference, all of them recorded with the job, so all controllers order them alike. A gang of another partition that comes later, and that its partition's machines can't hold completely, gives up its machines of the claimed offerings and rents none; idle machines of a claimed offering that nobody needs are returned at once. The first gang of the order never gives way, and a gang that nobody blocks is planned for as before. The rental plan's calculation is a class of short functions.

--- a/src/fleet/offering-availability.ts
+++ b/src/fleet/offering-availability.ts
@@ -35,6 +35,12 @@
     return refusal === undefined || refusal.until <= this.deps.scope.clock.now();
   }
 
+  /** Whether the cloud refused the offering and has not granted it since, unless its pause ended longer than a lease ago. */
+  wasRefused(offering: MachineOffering): boolean {
+    const refusal = this.refused.get(offeringKey(offering));
+    return refusal !== undefined && this.deps.scope.clock.now() < refusal.until + this.deps.settings.timing.leaseMs;
+  }
+
   /** Ends the pause of an offering after a rental that was granted in full. */
   recordGrant(offering: MachineOffering): void {
     this.refused.delete(offeringKey(offering));
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -4,7 +4,7 @@
 import { isReady, usableCandidates, zonesInUse } from "../queue/scheduling-cycle.js";
 import { UnschedulableShapes } from "../queue/unschedulable.js";
 import { sortTaskSets, type QueueOrder } from "../queue/queue-order.js";
-import { isAllowed, copiesThatFit, placeTasks, type CandidateMachine } from "../queue/placement.js";
+import { isAllowed, copiesThatFit, occupy, placeTasks, type CandidateMachine } from "../queue/placement.js";
 import { addCapacity } from "../queue/capacity.js";
 import { failsRepeatedly, type Placement, type TaskSet } from "../queue/task-set.js";
 import { freeCapacity, newMachine } from "../workers/machine.js";
@@ -24,6 +24,8 @@
   migrationGraceMs: number;
   /** Capacity that becomes free within this time in ms counts as free: a machine rented now would not be up sooner. */
   freeSoonMs: number;
+  /** Returns the test whether a gang has to give way to a gang of another partition in machines of an offering. */
+  givesWayIn: (gang: TaskSet) => (offer: MachineOffering) => boolean;
   /** Expected remaining run time of a task in ms. */
   remainingMs: (placement: Placement) => number;
 }
@@ -34,7 +36,7 @@
 }
 
 /** Number of the task set's waiting tasks that fit on one empty machine of the type. */
-function tasksPerMachine(type: MachineType, taskSet: TaskSet): number {
+export function tasksPerMachine(type: MachineType, taskSet: TaskSet): number {
   const { spec } = taskSet;
   const quotient = (all: number, one: number): number => (one > 0 ? Math.floor((all + 1e-6) / one) : Infinity);
   return Math.min(quotient(type.cpus, spec.cpus), quotient(type.gpus, spec.gpus), quotient(type.ram, spec.ram), taskSet.waiting.length);
@@ -45,6 +47,8 @@
   toRent: Map<string, { offer: MachineOffering; count: number }>;
   /** Machines, idle or booting, on which waiting tasks will be placed. */
   needed: Set<string>;
+  /** Gangs that the partition's machines, idle or booting, can't hold completely. */
+  incompleteGangs: TaskSet[];
 }
 
 /**
@@ -53,87 +57,156 @@
  * capacity that is left on those.
  */
 export function planRentals(partition: Partition, context: PlanContext): RentalPlan {
-  const toRent = new Map<string, { offer: MachineOffering; count: number }>();
-  const needed = new Set<string>();
-  const { now } = context;
-  const candidateMachines = usableCandidates(partition, now, context.silentMs);
-  const usable = new Set(candidateMachines.map((candidate) => candidate.machine));
-  for (const { machine, free } of candidateMachines) {
-    for (const placement of machine.placements.values())
-      if (context.remainingMs(placement) <= context.freeSoonMs) addCapacity(free, placement.taskSet.spec, 1);
+  return new RentalPlanner(partition, context).plan();
+}
+
+/** One calculation of a rental plan. */
+class RentalPlanner {
+  private readonly result: RentalPlan = { toRent: new Map(), needed: new Set(), incompleteGangs: [] };
+  /** Free, booting and hypothetical machines with the capacity that no planned task uses. */
+  private readonly candidates: CandidateMachine[];
+  private readonly usage: Map<string, Usage>;
+  private readonly unschedulable = new UnschedulableShapes();
+  private hypotheticalCount = 0;
+
+  constructor(
+    private readonly partition: Partition,
+    private readonly context: PlanContext,
+  ) {
+    this.candidates = presentCandidates(partition, context);
+    this.usage = copyUsageByTeam(partition);
   }
-  for (const machine of partition.machines.values()) {
-    const booting = !machine.deleting && !machine.draining && !machine.lost && machine.noticeAt === null && !usable.has(machine);
-    if (booting) candidateMachines.push({ machine, free: freeCapacity(machine) });
+
+  plan(): RentalPlan {
+    const ready = [...this.partition.taskSets.values()].filter((taskSet) => isReady(taskSet, this.context.now));
+    for (const taskSet of sortTaskSets(ready, this.context.order)) {
+      const count = this.tasksToPlan(taskSet);
+      if (count > 0) this.planTaskSet(taskSet, count);
+    }
+    return this.result;
   }
-  const usage = copyUsageByTeam(partition);
-  let hypothetical = 0;
-  const unschedulable = new UnschedulableShapes();
-  const queue = sortTaskSets(
-    [...partition.taskSets.values()].filter((taskSet) => isReady(taskSet, now)),
-    context.order,
-  );
-  for (const taskSet of queue) {
+
+  /** Number of the task set's tasks for which machines may be kept and rented; counts them towards their team's usage. */
+  private tasksToPlan(taskSet: TaskSet): number {
     const { spec } = taskSet;
-    const used = usage.get(spec.team) ?? { cpus: 0, gpus: 0 };
-    const quotaShare = context.quotaShare(spec.team);
-    let left = Math.min(
+    const used = this.usage.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    const quotaShare = this.context.quotaShare(spec.team);
+    const count = Math.min(
       taskSet.waiting.length,
-      context.order.maxStarts(taskSet),
+      this.context.order.maxStarts(taskSet),
       tasksThatFit(spec, { cpus: quotaShare.cpus - used.cpus, gpus: quotaShare.gpus - used.gpus }),
     );
-    const isGang = spec.kind === "gang";
-    if (left === 0 || (isGang && left < taskSet.waiting.length)) continue;
+    if (spec.kind === "gang" && count < taskSet.waiting.length) return 0;
     // No machines are rented for a job that fails on every machine.
-    if (failsRepeatedly(taskSet)) continue;
-    // A machine rented while bids of other partitions for the job are still awaited might come up after the job has
-    // migrated.
-    if (!taskSet.migrationConsidered && !taskSet.migrated && taskSet.lo === 0 && now - taskSet.arrivedAt < context.migrationGraceMs)
-      continue;
-    usage.set(spec.team, { cpus: used.cpus + spec.cpus * left, gpus: used.gpus + spec.gpus * left });
+    if (count === 0 || failsRepeatedly(taskSet) || this.mayMigrate(taskSet)) return 0;
+    this.usage.set(spec.team, { cpus: used.cpus + spec.cpus * count, gpus: used.gpus + spec.gpus * count });
     // An earlier task that needs no more than this one found neither free capacity nor an offering.
-    if (unschedulable.has(spec)) continue;
-    const placeOnCandidates = (task: JobSpec, count: number): number => {
-      const candidates =
-        taskSet.failedOn.size === 0
-          ? candidateMachines
-          : candidateMachines.filter(({ machine }) => !failsRepeatedlyOn(taskSet, machine.host));
-      const chosen = placeTasks(task, count, candidates, zonesInUse(partition, taskSet), NO_EXCLUSIONS, false);
-      for (const candidate of chosen) needed.add(candidate.machine.host);
-      return chosen.length;
+    return this.unschedulable.has(spec) ? 0 : count;
+  }
+
+  /**
+   * Whether bids of other partitions for the job may still be awaited: a machine rented now might come up after the job has
+   * migrated.
+   */
+  private mayMigrate(taskSet: TaskSet): boolean {
+    return (
+      !taskSet.migrationConsidered &&
+      !taskSet.migrated &&
+      taskSet.lo === 0 &&
+      this.context.now - taskSet.arrivedAt < this.context.migrationGraceMs
+    );
+  }
+
+  private planTaskSet(taskSet: TaskSet, count: number): void {
+    const { spec } = taskSet;
+    const isGang = spec.kind === "gang";
+    const givesWay = isGang ? this.context.givesWayIn(taskSet) : () => false;
+    let gaveWay = false;
+    const yields = (offer: MachineOffering): boolean => {
+      const result = givesWay(offer);
+      gaveWay ||= result;
+      return result;
     };
+    const context = { ...this.context, isAvailable: (offer: MachineOffering) => this.context.isAvailable(offer) && !yields(offer) };
     // A single-zone job goes to the zone that needs the fewest additional machines.
     const task =
-      spec.oneZone && spec.zone === null ? { ...spec, zone: bestZone(partition, taskSet, left, candidateMachines, context) } : spec;
+      spec.oneZone && spec.zone === null ? { ...spec, zone: bestZone(this.partition, taskSet, count, this.candidates, context) } : spec;
+    let candidates =
+      taskSet.failedOn.size === 0 ? this.candidates : this.candidates.filter(({ machine }) => !failsRepeatedlyOn(taskSet, machine.host));
+    let left = count;
     for (let round = 0; left > 0 && round < MAX_ROUNDS; round++) {
-      left -= placeOnCandidates(task, left);
-      if (left <= 0) break;
-      const best = cheapestOffering(
-        taskSet,
-        task,
-        left,
-        context,
-        (offer) => (toRent.get(offeringKey(offer))?.count ?? 0) < MAX_RENTAL_COUNT,
-      );
+      const chosen = placeTasks(task, left, candidates, zonesInUse(this.partition, taskSet), NO_EXCLUSIONS, false);
+      let kept = chosen;
+      if (isGang && round === 0 && !this.holdsWholeGang(chosen, count)) {
+        this.result.incompleteGangs.push(taskSet);
+        candidates = candidates.filter(({ machine }) => !yields(machine));
+        kept = giveUp(chosen, task, ({ machine }) => yields(machine));
+      }
+      for (const { machine } of kept) this.result.needed.add(machine.host);
+      left -= kept.length;
+      if (left <= 0) return;
+      const best = cheapestOffering(taskSet, task, left, context, (offer) => this.plannedCount(offer) < MAX_RENTAL_COUNT);
       if (best === null) {
-        unschedulable.add(spec);
-        break;
+        // What an earlier gang elsewhere is to have is no proof that nothing is left for later tasks of this size.
+        if (!gaveWay) this.unschedulable.add(spec);
+        return;
       }
-      const { type, offer } = best;
-      const name = offeringKey(offer);
-      const entry = toRent.get(name) ?? { offer, count: 0 };
-      toRent.set(name, entry);
       // Adds as many machines of the offering as the remaining tasks fill completely, but at least one.
-      const n = spec.spread ? 1 : Math.max(1, Math.floor(left / best.tasksPerMachine));
-      for (let k = 0; k < n && entry.count < MAX_RENTAL_COUNT; k++) {
-        const capacity = { cpus: type.cpus, gpus: type.gpus, ram: type.ram };
-        const machine = newMachine(`hypothetical-${hypothetical++}`, type.name, offer.zone, offer.spot, capacity, now);
-        candidateMachines.push({ machine, free: { ...capacity } });
-        entry.count++;
-      }
+      const machines = spec.spread ? 1 : Math.max(1, Math.floor(left / best.tasksPerMachine));
+      const rented = this.addRentals(best, machines);
+      if (candidates !== this.candidates) candidates.push(...rented);
+    }
+  }
+
+  /** Whether machines that the partition has, idle or booting, hold all `count` tasks of a gang. */
+  private holdsWholeGang(chosen: readonly CandidateMachine[], count: number): boolean {
+    return chosen.length === count && chosen.every(({ machine }) => this.partition.machines.has(machine.host));
+  }
+
+  /** Number of machines of the offering that this plan rents. */
+  private plannedCount(offer: MachineOffering): number {
+    return this.result.toRent.get(offeringKey(offer))?.count ?? 0;
+  }
+
+  /** Adds up to `count` machines of the offering to the rentals; returns them as candidates, to which later tasks may be added too. */
+  private addRentals({ type, offer }: PricedOffering, count: number): CandidateMachine[] {
+    const entry = this.result.toRent.get(offeringKey(offer)) ?? { offer, count: 0 };
+    this.result.toRent.set(offeringKey(offer), entry);
+    const added: CandidateMachine[] = [];
+    for (let k = 0; k < count && entry.count < MAX_RENTAL_COUNT; k++) {
+      const capacity = { cpus: type.cpus, gpus: type.gpus, ram: type.ram };
+      const name = `hypothetical-${this.hypotheticalCount++}`;
+      const machine = newMachine(name, type.name, offer.zone, offer.spot, capacity, this.context.now);
+      added.push({ machine, free: { ...capacity } });
+      entry.count++;
     }
+    this.candidates.push(...added);
+    return added;
   }
-  return { toRent, needed };
+}
+
+/** The partition's usable and booting machines. What comes free soon on a usable one counts as free. */
+function presentCandidates(partition: Partition, context: PlanContext): CandidateMachine[] {
+  const candidates = usableCandidates(partition, context.now, context.silentMs);
+  const usable = new Set(candidates.map((candidate) => candidate.machine));
+  for (const { machine, free } of candidates) {
+    for (const placement of machine.placements.values())
+      if (context.remainingMs(placement) <= context.freeSoonMs) addCapacity(free, placement.taskSet.spec, 1);
+  }
+  for (const machine of partition.machines.values()) {
+    const booting = !machine.deleting && !machine.draining && !machine.lost && machine.noticeAt === null && !usable.has(machine);
+    if (booting) candidates.push({ machine, free: freeCapacity(machine) });
+  }
+  return candidates;
+}
+
+/** Frees the candidates that `isGivenUp` names of one task each; returns the others. */
+function giveUp(chosen: CandidateMachine[], task: JobSpec, isGivenUp: (candidate: CandidateMachine) => boolean): CandidateMachine[] {
+  return chosen.filter((candidate) => {
+    if (!isGivenUp(candidate)) return true;
+    occupy(candidate, task, -1);
+    return false;
+  });
 }
 
 /** Number of a job's failures on one machine, per waiting task, above which the machine no longer counts as capacity for the job. */
--- a/src/fleet/renting.ts
+++ b/src/fleet/renting.ts
@@ -3,6 +3,7 @@
 import { keys, rentalRecords, type RentalRecord } from "../ledger/records.js";
 import type { Partition } from "../partitions/partition.js";
 import { ownsPartition, waitForRate, type FleetDependencies } from "./dependencies.js";
+import { GangClaims } from "./gang-claims.js";
 import type { OfferingAvailability } from "./offering-availability.js";
 import { MAX_RENTAL_COUNT, planRentals, type RentalPlan } from "./plan.js";
 
@@ -26,6 +27,7 @@
   private readonly inProgress = new Set<string>();
   private readonly plans = new WeakMap<Partition, { at: number; plan: RentalPlan }>();
   private rentalCount = 0;
+  readonly claims: GangClaims;
   /**
    * Names of the newest rentals whose result has been recorded. They need not survive a restart: only this incarnation
    * can write rental records under its terms.
@@ -35,9 +37,12 @@
   constructor(
     private readonly deps: FleetDependencies,
     private readonly availability: OfferingAvailability,
-  ) {}
+  ) {
+    this.claims = new GangClaims(deps, availability, (partition) => this.plans.get(partition)?.plan.incompleteGangs ?? []);
+  }
 
   start(): void {
+    this.claims.start();
     this.deps.scope.routine(
       "rent",
       () => this.deps.settings.timing.reportMs / 5,
@@ -84,6 +89,7 @@
       types: this.deps.leader.types,
       isAvailable: (offer) => this.availability.isAvailable(offer),
       quotaShare: (team) => this.deps.quotaShares.grantedShare(partition.id, team),
+      givesWayIn: this.claims.givesWayIn(partition),
       freeSoonMs: this.freeSoonMs(),
       remainingMs: ({ taskSet, runningAt }) => {
         const { history } = this.deps.leader;
--- a/src/fleet/returning.ts
+++ b/src/fleet/returning.ts
@@ -100,12 +100,26 @@
     // Machines needed for waiting tasks are kept: a gang's machines come up one by one, and those that wait for the
     // gang's other machines are not idle.
     if (needed.has(machine.host)) return null;
+    if (this.isLeftToGang(partition, machine)) return "left to a gang of another part";
     const sought = this.availability.isSoughtByPeer(machine);
     const idleMs = bootMs * idle_per_boot * this.cheapness(machine) * (sought ? SOUGHT_IDLE_SHARE : 1);
     if (partition.phase === "serving" && now - machine.idleSince > idleMs) return sought ? "sought by another part" : "idle";
     return null;
   }
 
+  /**
+   * Whether the machine, which is idle and not needed here, goes to a blocked gang of another partition. It is returned without
+   * the usual delay: the gang has waited long enough, and its other machines stand idle until it is complete.
+   */
+  private isLeftToGang(partition: Partition, machine: Machine): boolean {
+    const idleMs = this.deps.scope.clock.now() - machine.idleSince;
+    return (
+      partition.phase === "serving" &&
+      idleMs > this.deps.settings.timing.reportMs &&
+      this.renter.claims.isClaimedElsewhere(partition, machine)
+    );
+  }
+
   /**
    * Whether the machine should be deleted because it blocks fencing. A machine that has not reported the new term
    * blocks placement in the whole partition until its lease has certainly expired, which may take two leases; usually
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -122,6 +122,14 @@
   gpus: (number | null)[];
 }
 
+/**
+ * The blocked gangs of a partition: for each machine offering (type, zone, and spot or ordinary) that the cloud refuses, the
+ * reference of the first gang that waits for it. Gangs of other partitions that come later give way to it.
+ */
+export interface GangClaimRecord {
+  claims: Readonly<Record<string, string>>;
+}
+
 /** A team's guaranteed resources and limits as written by a configuration change, with the configuration version that it made. */
 export interface TeamRecord extends TeamSettings {
   version: number;
@@ -169,6 +177,7 @@
   presence: "t/l/",
   suspicions: "t/x/",
   quotaShares: "t/q/",
+  gangClaims: "t/g/",
   configurationRoot: "t/c/",
   /** Head record. Its key sorts before those of the teams, so a paged read of all records never returns a head record newer than the team records. */
   configuration: "t/c/head",
@@ -181,6 +190,7 @@
   rental: (name: string, index = 0) => `t/m/${name}${index > 0 ? `/${index}` : ""}`,
   owner: (partition: number) => `t/o/${partition}`,
   token: (partition: number) => `t/f/${partition}`,
+  gangClaim: (partition: number) => `t/g/${partition}`,
   presenceOf: (node: string) => `t/l/${node}`,
   suspicion: (node: string) => `t/x/${node}`,
   /** The team's name is encoded, because it may contain any character and keys must not contain spaces. */
--- a/test/scheduling-complexity.test.ts
+++ b/test/scheduling-complexity.test.ts
@@ -6,6 +6,7 @@
 import { nextAttemptNumber, copyUsageByTeam, type Partition } from "../src/partitions/partition.js";
 import { AttemptRegistry, type Attempt } from "../src/queue/attempts.js";
 import { estimateWaits, type EstimateContext } from "../src/queue/estimate.js";
+import type { TaskSet } from "../src/queue/task-set.js";
 import { UnschedulableShapes } from "../src/queue/unschedulable.js";
 import { RunTimeHistory } from "../src/queue/history.js";
 import { runSchedulingCycle } from "../src/queue/scheduling-cycle.js";
@@ -210,7 +211,13 @@
   zones: ["a", "b"],
 };
 
-type Change = { closed?: (offer: { zone: string; spot: boolean }) => boolean; weighMs?: number; soonMs?: number; leftMs?: number };
+type Change = {
+  claimed?: (gang: TaskSet, offer: { zone: string; spot: boolean }) => boolean;
+  closed?: (offer: { zone: string; spot: boolean }) => boolean;
+  weighMs?: number;
+  soonMs?: number;
+  leftMs?: number;
+};
 
 function planFor(partition: Partition, change: Change) {
   return planRentals(partition, {
@@ -221,6 +228,7 @@
     order,
     types: [type],
     isAvailable: (offer) => !(change.closed?.(offer) ?? false),
+    givesWayIn: (gang) => (offer) => change.claimed?.(gang, offer) ?? false,
     quotaShare: unlimited,
     migrationGraceMs: change.weighMs ?? 0,
   });
@@ -282,3 +290,20 @@
   assert.equal(unschedulable.has(specOf({ cpus: 2, ram: 9, spot: true })), false, "spot machines were not tried");
   assert.equal(unschedulable.has(specOf({ cpus: 2, ram: 9, oneZone: true })), false);
 });
+
+test("a gang that gives way keeps no machine and rents none; a whole gang and an array keep theirs", () => {
+  const claimed = (): boolean => true;
+  const { partition } = partitionOf(2, type);
+  const gang = enqueue(partition, specOf({ kind: "gang", tasks: 3, cpus: 15 }));
+  const kept = planFor(partition, {});
+  assert.deepEqual([kept.needed.size, kept.toRent.get("m/a/ordinary")?.count, kept.incompleteGangs], [3, 1, [gang]]);
+  const givenUp = planFor(partition, { claimed });
+  assert.deepEqual([givenUp.needed.size, givenUp.toRent.size, givenUp.incompleteGangs], [0, 0, [gang]]);
+  const onlyInB = planFor(partition, { claimed: (_, { zone }) => zone === "a" });
+  assert.deepEqual([...onlyInB.toRent.keys()], ["m/b/ordinary"], "it may still rent what nobody claims");
+  enqueue(partition, specOf({ ref: "run-000002", kind: "gang", tasks: 2, cpus: 15 }));
+  const whole = planFor(partition, { claimed });
+  assert.deepEqual([whole.needed.size, whole.toRent.size, whole.incompleteGangs], [2, 0, [gang]], "the second gang fits as it is");
+  enqueue(partition, specOf({ ref: "run-000003", tasks: 1, cpus: 15, urgency: "low" }));
+  assert.equal(planFor(partition, { claimed }).toRent.get("m/a/ordinary")?.count, 1, "an array needs no order: each task runs by itself");
+});
