Fleet: only a gang that keeps a part of its machines claims, and only what a gang gives up is returned at once

Change: a gang claims only while its partition keeps a part of its machines, and only in the zone in which it collects them. A gang that one machine can hold never gives way, as it never keeps a part. Idle machines that no gang gave up are returned after the usual time.

--- a/src/fleet/gang-claims.ts
+++ b/src/fleet/gang-claims.ts
@@ -10,7 +10,7 @@
 import { ownsPartition, type FleetDependencies } from "./dependencies.js";
 import { claimsOf, givesWay, sameClaims, type BlockedGang, type GangIdentity, type OfferingClaims } from "./gang-precedence.js";
 import type { OfferingAvailability } from "./offering-availability.js";
-import { offeringKey, tasksPerMachine } from "./plan.js";
+import { offeringKey, tasksPerMachine, type IncompleteGang } from "./plan.js";
 
 /**
  * Time, in leases of a worker, for which a gang must have lacked machines before it is recorded as blocked. Machines that are
@@ -29,7 +29,7 @@
     private readonly deps: FleetDependencies,
     private readonly availability: OfferingAvailability,
     /** Returns the gangs of the partition that lack machines, from its newest rental plan. */
-    private readonly incompleteGangs: (partition: Partition) => readonly TaskSet[],
+    private readonly incompleteGangs: (partition: Partition) => readonly IncompleteGang[],
   ) {}
 
   /** Starts the routine that records the claims of the owned partitions. */
@@ -51,11 +51,6 @@
     };
   }
 
-  /** Whether a blocked gang of another partition waits for machines of the offering. */
-  isClaimedElsewhere(partition: Partition, offering: MachineOffering): boolean {
-    return this.claimantsByOffering(partition.id).has(offeringKey(offering));
-  }
-
   /**
    * The gangs for which partitions other than `partition` claim offerings. Claims for jobs that have ended or belong to another
    * partition by now are void.
@@ -94,17 +89,20 @@
     return this.deps.replica.get<GangClaimRecord>(keys.gangClaim(partition.id))?.v.claims ?? {};
   }
 
-  /** The gangs that have lacked machines for long enough because the cloud refuses them. */
+  /** The gangs that have kept a part of their machines for long enough because the cloud refuses the others. */
   private blockedGangs(partition: Partition): BlockedGang[] {
     const now = this.deps.scope.clock.now();
     const before = this.blockedSince.get(partition) ?? this.claimedByFormerOwner(partition);
     const since = new Map<string, number>();
     const blocked: BlockedGang[] = [];
-    for (const taskSet of this.incompleteGangs(partition)) {
+    for (const gang of this.incompleteGangs(partition)) {
+      // A gang that keeps no machine blocks nobody, so it takes no part in a circle of waiting.
+      if (gang.heldTasks === 0) continue;
+      const { taskSet } = gang;
       const startedAt = before.get(taskSet.key) ?? now;
       since.set(taskSet.key, startedAt);
       if (now - startedAt < this.deps.settings.timing.leaseMs * BLOCKED_AFTER_LEASES) continue;
-      blocked.push({ gang: this.identityOf(taskSet), refusedOfferings: this.refusedOfferings(taskSet) });
+      blocked.push({ gang: this.identityOf(taskSet), refusedOfferings: this.refusedOfferings(gang) });
     }
     this.blockedSince.set(partition, since);
     return blocked;
@@ -116,11 +114,11 @@
   }
 
   /** The offerings that could hold a task of the gang and that the cloud refused recently. */
-  private refusedOfferings(taskSet: TaskSet): string[] {
+  private refusedOfferings({ taskSet, zone: onlyZone }: IncompleteGang): string[] {
     const refused: string[] = [];
     for (const type of this.deps.leader.types) {
       if (tasksPerMachine(type, taskSet) < 1) continue;
-      for (const zone of type.zones)
+      for (const zone of type.zones.filter((name) => onlyZone === null || name === onlyZone))
         for (const spot of [true, false]) {
           const offering = { type: type.name, zone, spot };
           if (isAllowed(taskSet.spec, offering) && this.availability.wasRefused(offering)) refused.push(offeringKey(offering));
--- a/src/fleet/gang-precedence.ts
+++ b/src/fleet/gang-precedence.ts
@@ -3,8 +3,8 @@
  * the state service, so all controllers decide alike. Not responsible for reading or writing these records.
  *
  * A partition keeps the machines that it has for a gang until the gang is complete. Without an order, two partitions may keep a
- * part of the machines each and wait for ever. So a partition whose gang is blocked records a claim to the offerings that it
- * lacks, and a gang that comes later in the order gives up its machines of these offerings and rents none.
+ * part of the machines each and wait for ever. So a partition that keeps machines for a blocked gang records a claim to the
+ * offerings that it lacks, and a gang that comes later in the order gives up its machines of these offerings and rents none.
  */
 import type { Urgency } from "@thorntrail/protocol/jobs";
 import { rank } from "../queue/queue-order.js";
@@ -17,7 +17,7 @@
   submittedAt: number;
 }
 
-/** A gang that lacks machines, with the offerings (see `offeringKey`) that could hold its tasks and that the cloud refused. */
+/** A gang that keeps a part of the machines that it needs, with the offerings (see `offeringKey`) that could hold its tasks and that the cloud refused. */
 export interface BlockedGang {
   gang: GangIdentity;
   refusedOfferings: readonly string[];
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -47,8 +47,18 @@
   toRent: Map<string, { offer: MachineOffering; count: number }>;
   /** Machines, idle or booting, on which waiting tasks will be placed. */
   needed: Set<string>;
-  /** Gangs that the partition's machines, idle or booting, can't hold completely. */
-  incompleteGangs: TaskSet[];
+  /** Machines, idle or booting, that a gang gives up to a gang of another partition. */
+  givenUp: Set<string>;
+  incompleteGangs: IncompleteGang[];
+}
+
+/** A gang that the partition's machines, idle or booting, can't hold completely. */
+export interface IncompleteGang {
+  taskSet: TaskSet;
+  /** Zone in which the machines for the gang are collected; null if they may be in any. */
+  zone: string | null;
+  /** Number of the gang's tasks that the partition's machines can hold. */
+  heldTasks: number;
 }
 
 /**
@@ -62,7 +72,7 @@
 
 /** One calculation of a rental plan. */
 class RentalPlanner {
-  private readonly result: RentalPlan = { toRent: new Map(), needed: new Set(), incompleteGangs: [] };
+  private readonly result: RentalPlan = { toRent: new Map(), needed: new Set(), givenUp: new Set(), incompleteGangs: [] };
   /** Free, booting and hypothetical machines with the capacity that no planned task uses. */
   private readonly candidates: CandidateMachine[];
   private readonly usage: Map<string, Usage>;
@@ -122,8 +132,9 @@
     const isGang = spec.kind === "gang";
     const givesWay = isGang ? this.context.givesWayIn(taskSet) : () => false;
     let gaveWay = false;
+    // A gang that one machine can hold waits for no further machine while it keeps one, so it need not give way.
     const yields = (offer: MachineOffering): boolean => {
-      const result = givesWay(offer);
+      const result = givesWay(offer) && !this.oneMachineHolds(taskSet, offer);
       gaveWay ||= result;
       return result;
     };
@@ -138,9 +149,10 @@
       const chosen = placeTasks(task, left, candidates, zonesInUse(this.partition, taskSet), NO_EXCLUSIONS, false);
       let kept = chosen;
       if (isGang && round === 0 && !this.holdsWholeGang(chosen, count)) {
-        this.result.incompleteGangs.push(taskSet);
+        const heldTasks = chosen.filter(({ machine }) => this.partition.machines.has(machine.host)).length;
+        this.result.incompleteGangs.push({ taskSet, zone: task.zone, heldTasks });
         candidates = candidates.filter(({ machine }) => !yields(machine));
-        kept = giveUp(chosen, task, ({ machine }) => yields(machine));
+        kept = this.giveUp(chosen, task, yields);
       }
       for (const { machine } of kept) this.result.needed.add(machine.host);
       left -= kept.length;
@@ -158,11 +170,27 @@
     }
   }
 
+  /** Whether one empty machine of the offering holds all waiting tasks. */
+  private oneMachineHolds(taskSet: TaskSet, offer: MachineOffering): boolean {
+    const type = this.context.types.find(({ name }) => name === offer.type);
+    return type !== undefined && tasksPerMachine(type, taskSet) >= taskSet.waiting.length;
+  }
+
   /** Whether machines that the partition has, idle or booting, hold all `count` tasks of a gang. */
   private holdsWholeGang(chosen: readonly CandidateMachine[], count: number): boolean {
     return chosen.length === count && chosen.every(({ machine }) => this.partition.machines.has(machine.host));
   }
 
+  /** Frees the chosen machines in which the gang gives way of one task each; returns the others. */
+  private giveUp(chosen: CandidateMachine[], task: JobSpec, yields: (offer: MachineOffering) => boolean): CandidateMachine[] {
+    return chosen.filter((candidate) => {
+      if (!yields(candidate.machine)) return true;
+      occupy(candidate, task, -1);
+      this.result.givenUp.add(candidate.machine.host);
+      return false;
+    });
+  }
+
   /** Number of machines of the offering that this plan rents. */
   private plannedCount(offer: MachineOffering): number {
     return this.result.toRent.get(offeringKey(offer))?.count ?? 0;
@@ -200,15 +228,6 @@
   return candidates;
 }
 
-/** Frees the candidates that `isGivenUp` names of one task each; returns the others. */
-function giveUp(chosen: CandidateMachine[], task: JobSpec, isGivenUp: (candidate: CandidateMachine) => boolean): CandidateMachine[] {
-  return chosen.filter((candidate) => {
-    if (!isGivenUp(candidate)) return true;
-    occupy(candidate, task, -1);
-    return false;
-  });
-}
-
 /** Number of a job's failures on one machine, per waiting task, above which the machine no longer counts as capacity for the job. */
 const MAX_FAILURES_PER_TASK = 2;
 
--- a/src/fleet/returning.ts
+++ b/src/fleet/returning.ts
@@ -5,6 +5,7 @@
 import type { Machine } from "../workers/machine.js";
 import { ownsPartition, MAX_DELETE_HOSTS, waitForRate, type FleetDependencies } from "./dependencies.js";
 import type { OfferingAvailability } from "./offering-availability.js";
+import type { RentalPlan } from "./plan.js";
 import type { Renter } from "./renting.js";
 
 /**
@@ -79,7 +80,7 @@
   }
 
   /** Returns why the machine should be returned to the cloud; null if there is no reason to. */
-  private returnReason(partition: Partition, machine: Machine, needed: ReadonlySet<string>, tally: Tally): string | null {
+  private returnReason(partition: Partition, machine: Machine, plan: RentalPlan, tally: Tally): string | null {
     const now = this.deps.scope.clock.now();
     const type = this.deps.leader.typeOf(machine.type);
     if (type === undefined || machine.deleting) return null;
@@ -99,8 +100,8 @@
     if (machine.noticeAt !== null) return "notice";
     // Machines needed for waiting tasks are kept: a gang's machines come up one by one, and those that wait for the
     // gang's other machines are not idle.
-    if (needed.has(machine.host)) return null;
-    if (this.isLeftToGang(partition, machine)) return "left to a gang of another part";
+    if (plan.needed.has(machine.host)) return null;
+    if (this.isLeftToGang(partition, machine, plan)) return "left to a gang of another part";
     const sought = this.availability.isSoughtByPeer(machine);
     const idleMs = bootMs * idle_per_boot * this.cheapness(machine) * (sought ? SOUGHT_IDLE_SHARE : 1);
     if (partition.phase === "serving" && now - machine.idleSince > idleMs) return sought ? "sought by another part" : "idle";
@@ -108,16 +109,12 @@
   }
 
   /**
-   * Whether the machine, which is idle and not needed here, goes to a blocked gang of another partition. It is returned without
-   * the usual delay: the gang has waited long enough, and its other machines stand idle until it is complete.
+   * Whether a gang gives the machine, which nothing else here needs, up to a gang of another partition. It is returned without
+   * the usual delay: that gang has waited long enough, and its other machines stand idle until it is complete.
    */
-  private isLeftToGang(partition: Partition, machine: Machine): boolean {
+  private isLeftToGang(partition: Partition, machine: Machine, { givenUp }: RentalPlan): boolean {
     const idleMs = this.deps.scope.clock.now() - machine.idleSince;
-    return (
-      partition.phase === "serving" &&
-      idleMs > this.deps.settings.timing.reportMs &&
-      this.renter.claims.isClaimedElsewhere(partition, machine)
-    );
+    return partition.phase === "serving" && givenUp.has(machine.host) && idleMs > this.deps.settings.timing.reportMs;
   }
 
   /**
@@ -186,10 +183,10 @@
     if (!this.deps.leader.isSoleOwner()) return;
     for (const partition of [...this.deps.leader.partitions.values()]) {
       const leaving: Machine[] = [];
-      const { needed } = this.renter.plan(partition);
+      const plan = this.renter.plan(partition);
       const tally = this.tally(partition);
       for (const machine of partition.machines.values()) {
-        const reason = this.returnReason(partition, machine, needed, tally);
+        const reason = this.returnReason(partition, machine, plan, tally);
         if (reason === null || leaving.length >= MAX_DELETE_HOSTS) continue;
         machine.deleting = true;
         leaving.push(machine);
