Fleet: a gang's place in the order is taken from one function; comments say what the present rule does

Three comments of the claims still described the first form (a gang that lacks machines); the rule is that it keeps a part. The claims of the renter are private, since returning reads the plan alone by now. Behaviour is as it was.

--- a/src/fleet/gang-claims.ts
+++ b/src/fleet/gang-claims.ts
@@ -3,6 +3,7 @@
  * is decided in `gang-precedence`.
  */
 import type { MachineOffering } from "@thorntrail/protocol/cloud";
+import type { JobSpec } from "@thorntrail/protocol/jobs";
 import { keys, partitionOf, type GangClaimRecord, type JobRecord } from "../ledger/records.js";
 import type { Partition } from "../partitions/partition.js";
 import type { TaskSet } from "../queue/task-set.js";
@@ -13,14 +14,14 @@
 import { offeringKey, tasksPerMachine, type IncompleteGang } from "./plan.js";
 
 /**
- * Time, in leases of a worker, for which a gang must have lacked machines before it is recorded as blocked. Machines that are
+ * Time, in leases of a worker, for which a gang must have kept only a part of its machines before it is recorded as blocked. Machines that are
  * refused once are often granted a moment later, and giving way costs the other partition a return and a rental.
  */
 const BLOCKED_AFTER_LEASES = 1;
 
 /** Keeps the claims of the owned partitions up to date in the state service, and answers by the claims of the others. */
 export class GangClaims {
-  /** Since when each gang has lacked machines without interruption, by partition; in ms of the monotonic clock. */
+  /** Since when each gang has kept only a part of its machines without interruption, by partition; in ms of the monotonic clock. */
   private readonly blockedSince = new WeakMap<Partition, Map<string, number>>();
   /** Partitions whose claims are being written. */
   private readonly writing = new Set<number>();
@@ -28,7 +29,7 @@
   constructor(
     private readonly deps: FleetDependencies,
     private readonly availability: OfferingAvailability,
-    /** Returns the gangs of the partition that lack machines, from its newest rental plan. */
+    /** Returns the gangs that the partition's machines can't hold completely, from its newest rental plan. */
     private readonly incompleteGangs: (partition: Partition) => readonly IncompleteGang[],
   ) {}
 
@@ -46,7 +47,7 @@
     const claimants = this.claimantsByOffering(partition.id);
     if (claimants.size === 0) return () => () => false;
     return (gang) => {
-      const identity = this.identityOf(gang);
+      const identity = this.identityOf(gang.spec);
       return (offering) => givesWay(identity, claimants.get(offeringKey(offering)) ?? []);
     };
   }
@@ -63,14 +64,13 @@
       for (const [offering, ref] of Object.entries(v.claims)) {
         const job = this.deps.replica.get<JobRecord>(keys.job(ref))?.v;
         if (job === undefined || job.end !== undefined || partitionOf(job) !== claimingPartition) continue;
-        const claimant = { ref, urgency: job.spec.urgency, submittedAt: job.at };
-        claimants.set(offering, [...(claimants.get(offering) ?? []), claimant]);
+        claimants.set(offering, [...(claimants.get(offering) ?? []), this.identityOf(job.spec)]);
       }
     }
     return claimants;
   }
 
-  private identityOf({ spec }: TaskSet): GangIdentity {
+  private identityOf(spec: JobSpec): GangIdentity {
     // A job without a record, which is never planned for, would come last.
     const submittedAt = this.deps.replica.get<JobRecord>(keys.job(spec.ref))?.v.at ?? Infinity;
     return { ref: spec.ref, urgency: spec.urgency, submittedAt };
@@ -102,7 +102,7 @@
       const startedAt = before.get(taskSet.key) ?? now;
       since.set(taskSet.key, startedAt);
       if (now - startedAt < this.deps.settings.timing.leaseMs * BLOCKED_AFTER_LEASES) continue;
-      blocked.push({ gang: this.identityOf(taskSet), refusedOfferings: this.refusedOfferings(gang) });
+      blocked.push({ gang: this.identityOf(taskSet.spec), refusedOfferings: this.refusedOfferings(gang) });
     }
     this.blockedSince.set(partition, since);
     return blocked;
--- a/src/fleet/renting.ts
+++ b/src/fleet/renting.ts
@@ -27,7 +27,7 @@
   private readonly inProgress = new Set<string>();
   private readonly plans = new WeakMap<Partition, { at: number; plan: RentalPlan }>();
   private rentalCount = 0;
-  readonly claims: GangClaims;
+  private readonly claims: GangClaims;
   /**
    * Names of the newest rentals whose result has been recorded. They need not survive a restart: only this incarnation
    * can write rental records under its terms.
